--- a/src/bin/silvertrestle-wirehost.rs
+++ b/src/bin/ironmast-drill.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::process::ExitCode;
 
-use silvertrestle::wire::Host;
+use ironmast::wire::Host;
 
 fn main() -> ExitCode {
     let input = io::BufReader::with_capacity(1 << 18, io::stdin().lock());
@@ -11,7 +11,7 @@
     match Host::new().run(input, output) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("silvertrestle-wirehost: {error}");
+            eprintln!("ironmast-drill: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //! does no I/O and keeps no state outside itself.
 //!
 //! ```
-//! use silvertrestle::{Action, Balancer, ClassSettings, Event, Listing, Phase, Scope, Server, ServerId, Settings};
+//! use ironmast::{Action, Balancer, ClassSettings, Event, Listing, Phase, Scope, Server, ServerId, Settings};
 //!
 //! let settings = Settings {
 //!     classes: vec![ClassSettings { aim: 200_000, deadline: 1_000_000, ..ClassSettings::default() }],
@@ -20,7 +20,7 @@
 //! let mut actions = Vec::new();
 //! let listing = Listing { scope: Scope::Complete, servers: vec![server(near, 0), server(far, 1)] };
 //! balancer.handle(1_000, Event::Members(listing), &mut actions);
-//! let request = silvertrestle::Request {
+//! let request = ironmast::Request {
 //!     id: 1, class: 0, tenant: None, key: None, work_hint: None, client_retry: false, expires: 900_000,
 //! };
 //! balancer.handle(1_000, Event::Request(request), &mut actions);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,7 +3,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use silvertrestle::*;
+use ironmast::*;
 
 pub const MS: Micros = 1_000;
 pub const SECOND: Micros = 1_000_000;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use common::*;
+use ironmast::*;
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-use silvertrestle::*;
 
 /// One thing that happens to the balancer.
 #[derive(Clone, Debug)]
