--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,100 @@
+//! The client proxy: reads what it is told, wires the parts together and ends on a signal.
+#![forbid(unsafe_code)]
+
+mod net;
+
+use std::cell::Cell;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ironmast::Balancer;
+use net::clock::Clock;
+use net::config::Config;
+use net::discovery::Discovery;
+use net::driver::{Driver, Orders};
+use net::listener::Front;
+use net::message::Queue;
+use net::peers::Peers;
+use net::sockets::Budget;
+use net::upstream::{self, Upstream};
+use slog::{Drain as _, Logger, info, o};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc;
+
+/// After SIGTERM clients still come for up to 0.4 s and use what they have open.
+const STILL_OPEN: Duration = Duration::from_millis(700);
+
+fn main() -> ExitCode {
+    let config = match Config::read(|name| std::env::var(name).ok()) {
+        Ok(config) => config,
+        Err(problem) => {
+            eprintln!("ironmast: {}", problem.replace('\n', " "));
+            return ExitCode::FAILURE;
+        }
+    };
+    // Lines are written by a thread of their own: guards the proxy against a slow reader of its log.
+    let drain = slog_term::FullFormat::new(slog_term::PlainDecorator::new(std::io::stderr())).build().fuse();
+    let (drain, _guard) = slog_async::Async::new(drain).build_with_guard();
+    let log = Logger::root(drain.fuse(), o!("proxy" => config.name.clone()));
+    match actix_rt::System::new().block_on(run(config, log)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("ironmast: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(config: Config, log: Logger) -> Result<(), String> {
+    let Config { listen, setup, .. } = config;
+    let balancer = Balancer::new(setup.settings.clone(), config.seed).map_err(|e| e.to_string())?;
+    let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
+    let listener = TcpListener::bind(listen).await.map_err(|e| format!("{listen}: {e}"))?;
+    let socket = match config.peer_listen {
+        Some(at) => Some(UdpSocket::bind(at).await.map_err(|e| format!("{at}: {e}"))?),
+        None => None,
+    };
+
+    let (clock, budget) = (Clock::start(), Budget::new(config.sockets));
+    let (queue, messages) = Queue::new();
+    let (to_upstream, upstream_orders) = mpsc::unbounded_channel();
+    let (to_discovery, asks) = mpsc::unbounded_channel();
+    let (to_peers, tells) = mpsc::unbounded_channel();
+    let connect = Duration::from_micros(setup.connect_timeout);
+    let keepalive = Duration::from_micros(setup.keepalive);
+
+    let client = upstream::client(budget.clone(), connect, keepalive / 2);
+    let zones = setup.zones.clone();
+    let mut discovery = Discovery::new(config.discovery, client, zones, log.clone(), queue.clone());
+    discovery.recall(config.known.as_ref());
+    actix_rt::spawn(discovery.run(asks));
+
+    let rules = upstream::Rules { connect, keepalive, load: setup.load.clone() };
+    let upstream = Upstream::new(rules, clock, log.clone(), budget.clone(), queue.clone());
+    actix_rt::spawn(upstream.run(upstream_orders));
+    let (peers, all) = (config.peers, config.peers_all);
+    actix_rt::spawn(Peers { socket, peers, all, log: log.clone(), queue: queue.clone() }.run(tells));
+
+    let ready = Rc::new(Cell::new(false));
+    let held = Rc::clone(&ready);
+    let orders = Orders { upstream: to_upstream, discovery: to_discovery, peers: to_peers };
+    let driver = Driver::new(balancer, setup.settings.limits.clone(), clock, log.clone(), orders);
+    actix_rt::spawn(driver.run(messages, move || held.set(true)));
+
+    let front = Front::new(setup, clock, queue, log.clone(), ready);
+    let accepting = actix_rt::spawn(Rc::clone(&front).accept(listener, budget));
+    info!(log, "serving"; "listen" => listen);
+
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    info!(log, "ending");
+    tokio::time::sleep(STILL_OPEN).await;
+    accepting.abort();
+    front.finish().await;
+    Ok(())
+}
--- /dev/null
+++ b/src/net/config.rs
@@ -0,0 +1,110 @@
+//! What the program is told: the environment's `GW_*` and the JSON file they name. Settings are flattened to
+//! the simulator's `path=value` form and read by its parser, so that both programs agree on them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use ironmast::wire::Setup;
+use serde::Deserialize;
+use serde_json::Value;
+
+use super::discovery::List;
+
+/// All of it, checked.
+pub struct Config {
+    /// The proxy's name.
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// Where discovery listens.
+    pub discovery: SocketAddr,
+    /// For random numbers.
+    pub seed: u64,
+    /// Descriptors that may be held.
+    pub sockets: usize,
+    /// Where datagrams arrive, if peers may talk.
+    pub peer_listen: Option<SocketAddr>,
+    /// Every proxy of the tier, by number.
+    pub peers: Vec<SocketAddr>,
+    /// Reaches them all.
+    pub peers_all: Option<SocketAddr>,
+    /// The list as last held; may be old.
+    pub known: Option<List>,
+    /// The settings.
+    pub setup: Setup,
+}
+
+/// The file as it is written.
+#[derive(Deserialize)]
+struct File {
+    name: Option<String>,
+    listen: Option<String>,
+    discovery: Option<String>,
+    seed: Option<String>,
+    #[serde(default)]
+    limits: FileLimits,
+    peer_listen: Option<SocketAddr>,
+    #[serde(default)]
+    peers: Vec<SocketAddr>,
+    peers_all: Option<SocketAddr>,
+    known: Option<Value>,
+    settings: Value,
+}
+
+#[derive(Default, Deserialize)]
+struct FileLimits {
+    sockets: Option<usize>,
+}
+
+impl Config {
+    /// Reads it all; `env` looks up a variable. An error is one plain line.
+    pub fn read(env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let path = env("GW_CONFIG").ok_or("GW_CONFIG is not set")?;
+        let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
+        let file: File = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
+        let told = |name: &str, written: Option<String>| {
+            env(name).or(written).ok_or_else(|| format!("{name} is not set and {path} does not tell it"))
+        };
+        let address = |name: &str, written| {
+            let value = told(name, written)?;
+            value.parse().map_err(|_| format!("{name}: `{value}` is not ADDRESS:PORT"))
+        };
+        let seed = file.seed.unwrap_or_default();
+        let mut pairs = BTreeMap::new();
+        flatten("", &file.settings, &mut pairs);
+        Ok(Config {
+            name: told("GW_NAME", file.name)?,
+            listen: address("GW_LISTEN", file.listen)?,
+            discovery: address("GW_DISCOVERY", file.discovery)?,
+            seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("seed: `{seed}` is not hex digits"))?,
+            sockets: file.limits.sockets.unwrap_or(1024),
+            peer_listen: file.peer_listen,
+            peers: file.peers,
+            peers_all: file.peers_all,
+            known: file.known.as_ref().and_then(List::read),
+            setup: Setup::read(&pairs).map_err(|e| format!("{path}: settings: {e}"))?,
+        })
+    }
+}
+
+/// Writes nested JSON as the wire's pairs: lists of objects with a count, plain ones joined with commas.
+fn flatten(path: &str, value: &Value, pairs: &mut BTreeMap<String, String>) {
+    let at = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
+    let plain = |value: &Value| match value {
+        Value::String(text) => text.replace([' ', ','], "_"),
+        Value::Null => String::new(),
+        other => other.to_string(),
+    };
+    match value {
+        Value::Object(map) => map.iter().for_each(|(key, value)| flatten(&at(key), value, pairs)),
+        Value::Array(items) if items.iter().any(Value::is_object) => {
+            pairs.insert(at("count"), items.len().to_string());
+            items.iter().enumerate().for_each(|(i, item)| flatten(&at(&i.to_string()), item, pairs));
+        }
+        Value::Array(items) => {
+            let joined: Vec<String> = items.iter().map(plain).collect();
+            pairs.insert(path.to_string(), joined.join(","));
+        }
+        value => drop(pairs.insert(path.to_string(), plain(value))),
+    }
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,213 @@
+//! Discovery's client: the watch and the full list, told to the driver as news. A call that fails, a list that
+//! makes no sense and a watch gone silent are each told as failed at once.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use awc::Client;
+use awc::error::PayloadError;
+use bytes::Bytes;
+use futures_util::{Stream, StreamExt as _};
+use ironmast::{Micros, Phase, Scope, Server, ServerId};
+use serde::Deserialize;
+use serde_json::Value;
+use slog::{Logger, info, warn};
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+use super::message::{Ask, Entry, Message, Queue};
+
+/// Calls wait their turn at discovery, which gives up on them after 3 s.
+const ANSWER: Duration = Duration::from_millis(4_000);
+/// A line comes every 2 s: guards against cut links, which give no sign.
+const SILENCE: Duration = Duration::from_millis(3_000);
+/// A list takes no more than this.
+const LIST_MOST: usize = 4 << 20;
+
+/// A list in discovery's form, or changes to one.
+#[derive(Clone, Debug)]
+pub struct List {
+    rev: u64,
+    all: bool,
+    entries: Vec<Value>,
+}
+
+#[derive(Deserialize)]
+struct Written {
+    rev: u64,
+    all: bool,
+    targets: Vec<Value>,
+}
+
+#[derive(Deserialize)]
+struct Target {
+    uid: String,
+    endpoint: SocketAddr,
+    az: String,
+    #[serde(default)]
+    pod_group: u64,
+    state: String,
+    capacity_hint: Option<f64>,
+    #[serde(default)]
+    boot_ms: u64,
+}
+
+impl List {
+    /// Reads a list; none if it is malformed.
+    pub fn read(value: &Value) -> Option<List> {
+        let Written { rev, all, targets } = Written::deserialize(value).ok()?;
+        Some(List { rev, all, entries: targets })
+    }
+
+    /// Its entries in the module's terms; bad ones are skipped and logged.
+    pub fn entries(&self, zones: &mut Vec<String>, log: &Logger) -> Vec<Entry> {
+        let read = |value: &Value| {
+            let entry = Target::deserialize(value).map_err(|e| e.to_string()).and_then(|t| entry(t, zones));
+            entry.map_err(|why| warn!(log, "an entry of the list is skipped"; "why" => why)).ok()
+        };
+        self.entries.iter().filter_map(read).collect()
+    }
+}
+
+fn entry(target: Target, zones: &mut Vec<String>) -> Result<Entry, String> {
+    let phase = match target.state.as_str() {
+        "up" => Phase::Ready,
+        "draining" => Phase::Draining,
+        "removed" => Phase::Gone,
+        other => return Err(format!("`{other}` is not a known state")),
+    };
+    if target.uid.is_empty() {
+        return Err("it has no uid".to_string());
+    }
+    let zone = zones.iter().position(|z| *z == target.az).unwrap_or_else(|| {
+        zones.push(target.az.clone());
+        zones.len() - 1
+    });
+    let size = target.capacity_hint.filter(|s| s.is_finite()).unwrap_or(1.0);
+    let started = Some(target.boot_ms as Micros * 1_000).filter(|&at| at > 0);
+    let (id, cell) = (ServerId::from_name(&target.uid), target.pod_group);
+    Ok(Entry { server: Server { id, zone, cell, phase, size, started }, address: target.endpoint })
+}
+
+/// Watches and fetches on behalf of the driver.
+pub struct Discovery {
+    address: SocketAddr,
+    client: Client,
+    zones: Vec<String>,
+    rev: Option<u64>,
+    log: Logger,
+    queue: Queue,
+}
+
+impl Discovery {
+    /// A client that holds nothing yet.
+    pub fn new(address: SocketAddr, client: Client, zones: Vec<String>, log: Logger, queue: Queue) -> Self {
+        Discovery { address, client, zones, rev: None, log, queue }
+    }
+
+    /// Tells the list that was held before this start; even an empty one sets the module going.
+    pub fn recall(&mut self, known: Option<&List>) {
+        self.rev = known.map(|list| list.rev);
+        let entries = known.map_or_else(Vec::new, |list| list.entries(&mut self.zones, &self.log));
+        self.queue.say(Message::Listed(Scope::Cached, entries));
+    }
+
+    /// Does what is asked until nobody can ask any more.
+    pub async fn run(mut self, mut asks: mpsc::UnboundedReceiver<Ask>) {
+        let mut next = asks.recv().await;
+        while let Some(ask) = next {
+            next = match ask {
+                Ask::Watch(false) => asks.recv().await,
+                Ask::All => {
+                    self.fetch().await;
+                    asks.recv().await
+                }
+                // Asked again, the watch begins anew.
+                Ask::Watch(true) => tokio::select! {
+                    ask = asks.recv() => ask,
+                    why = self.watch() => {
+                        self.failed(&why);
+                        asks.recv().await
+                    }
+                },
+            };
+        }
+    }
+
+    fn failed(&self, why: &str) {
+        info!(self.log, "discovery failed"; "why" => why);
+        self.queue.say(Message::Listed(Scope::Failed, Vec::new()));
+    }
+
+    fn tell(&mut self, line: &[u8]) -> Result<(), String> {
+        let value: Value = serde_json::from_slice(line).map_err(|e| format!("a malformed list: {e}"))?;
+        let list = List::read(&value).ok_or("a malformed list")?;
+        self.rev = Some(list.rev);
+        let scope = if list.all { Scope::Complete } else { Scope::Changes };
+        let entries = list.entries(&mut self.zones, &self.log);
+        self.queue.say(Message::Listed(scope, entries));
+        Ok(())
+    }
+
+    async fn call(
+        &self,
+        query: &str,
+    ) -> Result<impl Stream<Item = Result<Bytes, PayloadError>> + use<>, String> {
+        let url = format!("http://{}/registry/instances{query}", self.address);
+        match timeout(ANSWER, self.client.get(url).no_decompress().send()).await {
+            Ok(Ok(answer)) if answer.status().is_success() => Ok(answer),
+            Ok(Ok(answer)) => Err(format!("status {}", answer.status())),
+            Ok(Err(error)) => Err(error.to_string()),
+            Err(_) => Err("no answer in time".to_string()),
+        }
+    }
+
+    async fn fetch(&mut self) {
+        let read = async {
+            let mut answer = self.call("").await?;
+            let mut text = Vec::new();
+            while let Some(part) = timeout(ANSWER, answer.next()).await.map_err(|_| "no answer in time")? {
+                text.extend_from_slice(&part.map_err(|e| e.to_string())?);
+                if text.len() > LIST_MOST {
+                    return Err("the list is too long".to_string());
+                }
+            }
+            Ok(text)
+        };
+        let done = read.await.and_then(|text| self.tell(&text));
+        if let Err(why) = done {
+            self.failed(&why);
+        }
+    }
+
+    /// Watches until it fails; tells why.
+    async fn watch(&mut self) -> String {
+        let index = self.rev.map(|rev| format!("&index={rev}")).unwrap_or_default();
+        let mut answer = match self.call(&format!("?stream=1{index}")).await {
+            Ok(answer) => answer,
+            Err(why) => return why,
+        };
+        let (mut text, mut first) = (Vec::<u8>::new(), true);
+        loop {
+            let part = match timeout(if first { ANSWER } else { SILENCE }, answer.next()).await {
+                Err(_) => return "the watch is silent".to_string(),
+                Ok(None) => return "the watch ended".to_string(),
+                Ok(Some(Err(error))) => return error.to_string(),
+                Ok(Some(Ok(part))) => part,
+            };
+            first = false;
+            text.extend_from_slice(&part);
+            while let Some(end) = text.iter().position(|&b| b == b'\n') {
+                let line: Vec<u8> = text.drain(..=end).collect();
+                if !line.trim_ascii().is_empty()
+                    && let Err(why) = self.tell(&line)
+                {
+                    return why;
+                }
+            }
+            if text.len() > LIST_MOST {
+                return "the list is too long".to_string();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/driver.rs
@@ -0,0 +1,258 @@
+//! The only owner of the decision module, of its timers and of the open requests. It takes messages from the
+//! queue one at a time and carries out every action the module asks for.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use ironmast::{
+    Action, Balancer, Event, Limits, Listing, Micros, Outcome, Phase, Request, RequestId, Scope, ServerId,
+    Settled,
+};
+use slog::{Logger, info, warn};
+use tokio::sync::{mpsc, oneshot};
+
+use super::clock::Clock;
+use super::message::{Answer, Arrival, Ask, Attempt, Ended, Entry, Message, Order, Payload, Tell, Ticket};
+
+/// Where orders go.
+pub struct Orders {
+    /// To the connections to pay servers.
+    pub upstream: mpsc::UnboundedSender<Order>,
+    /// To discovery.
+    pub discovery: mpsc::UnboundedSender<Ask>,
+    /// To the peers.
+    pub peers: mpsc::UnboundedSender<Tell>,
+}
+
+/// A request that is owed an answer or has an attempt out.
+struct Open {
+    ticket: Ticket,
+    expires: Micros,
+    payload: Rc<Payload>,
+    /// Taken by the one final answer.
+    reply: Option<oneshot::Sender<Answer>>,
+    /// Of each attempt: the server, when it was sent, and whether it is out.
+    attempts: Vec<(ServerId, Micros, bool)>,
+}
+
+impl Open {
+    fn out(&self) -> bool {
+        self.attempts.iter().any(|a| a.2)
+    }
+}
+
+/// Drives one balancer.
+pub struct Driver {
+    balancer: Balancer,
+    limits: Limits,
+    clock: Clock,
+    log: Logger,
+    orders: Orders,
+    timers: BTreeSet<(Micros, u64)>,
+    open: BTreeMap<RequestId, Open>,
+    ids: BTreeMap<Ticket, RequestId>,
+    last_id: RequestId,
+    /// Where each listed server listens, and whether it takes new requests.
+    servers: BTreeMap<ServerId, (SocketAddr, bool)>,
+    /// Events that actions themselves brought about.
+    pending: VecDeque<Event>,
+}
+
+impl Driver {
+    /// A driver that holds no list yet.
+    pub fn new(balancer: Balancer, limits: Limits, clock: Clock, log: Logger, orders: Orders) -> Self {
+        Driver {
+            balancer,
+            limits,
+            clock,
+            log,
+            orders,
+            timers: BTreeSet::new(),
+            open: BTreeMap::new(),
+            ids: BTreeMap::new(),
+            last_id: 0,
+            servers: BTreeMap::new(),
+            pending: VecDeque::new(),
+        }
+    }
+
+    /// Serves the queue until all that feed it are gone. `held` hears of the first list that names servers.
+    pub async fn run(mut self, mut queue: mpsc::UnboundedReceiver<Message>, held: impl Fn()) {
+        loop {
+            let due = self.timers.first().map(|&(at, _)| self.clock.at(at).into());
+            tokio::select! {
+                biased;
+                // Timers first: guards them against a queue that is never empty.
+                () = async { tokio::time::sleep_until(due.unwrap()).await }, if due.is_some() => {
+                    if let Some((_, token)) = self.timers.pop_first() {
+                        self.event(Event::Timer { token });
+                    }
+                }
+                message = queue.recv() => match message {
+                    Some(message) => self.take(message),
+                    None => return,
+                }
+            }
+            if !self.servers.is_empty() {
+                held();
+            }
+        }
+    }
+
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Arrived(arrival) => self.arrived(arrival),
+            Message::Left(ticket) => {
+                if let Some(id) = self.ids.remove(&ticket)
+                    && let Some(open) = self.open.get_mut(&id)
+                {
+                    open.reply = None;
+                    self.event(Event::HungUp { id });
+                    self.forget(id);
+                }
+            }
+            Message::Ended(ended) => self.ended(ended),
+            Message::Probed(server, outcome, latency, load) => {
+                self.event(Event::Probed { server, outcome, latency, load });
+            }
+            Message::Peer(from, data) => self.event(Event::Peer { from, data }),
+            Message::Listed(scope, entries) => self.listed(scope, entries),
+        }
+    }
+
+    fn arrived(&mut self, arrival: Arrival) {
+        self.last_id += 1;
+        let id = self.last_id;
+        let Arrival { ticket, class, tenant, subject, client_retry, expires, payload, reply } = arrival;
+        self.ids.insert(ticket, id);
+        self.open.insert(id, Open { ticket, expires, payload, reply: Some(reply), attempts: Vec::new() });
+        let work_hint = None;
+        self.event(Event::Request(Request {
+            id,
+            class,
+            tenant,
+            key: subject,
+            work_hint,
+            client_retry,
+            expires,
+        }));
+    }
+
+    fn ended(&mut self, ended: Ended) {
+        let Ended { id, number, outcome, body, load } = ended;
+        let Some(open) = self.open.get_mut(&id) else { return };
+        let Some(attempt) = open.attempts.get_mut(number as usize).filter(|a| a.2) else { return };
+        attempt.2 = false;
+        let (server, sent, _) = *attempt;
+        if outcome == Outcome::Ok {
+            self.answer(id, Answer::Served(body));
+        }
+        let finished = self.open.get(&id).is_none_or(|o| o.reply.is_none());
+        let latency = self.clock.now().saturating_sub(sent);
+        self.event(Event::Settled(Settled { id, server, attempt: number, outcome, latency, finished, load }));
+        self.forget(id);
+    }
+
+    fn listed(&mut self, scope: Scope, entries: Vec<Entry>) {
+        let mut gone: BTreeSet<ServerId> = match scope {
+            Scope::Complete | Scope::Cached => self.servers.keys().copied().collect(),
+            _ => BTreeSet::new(),
+        };
+        for Entry { server, address } in &entries {
+            gone.remove(&server.id);
+            let takes = server.phase == Phase::Ready;
+            self.servers.insert(server.id, (*address, takes));
+            // Guards rule 3: an attempt decided before this news may still be on its way to the socket.
+            let order = if takes { Order::Admit(server.id) } else { Order::Retire(server.id) };
+            let _ = self.orders.upstream.send(order);
+        }
+        for id in gone {
+            self.servers.remove(&id);
+            let _ = self.orders.upstream.send(Order::Retire(id));
+        }
+        let servers = entries.into_iter().map(|e| e.server).collect();
+        self.event(Event::Members(Listing { scope, servers }));
+    }
+
+    /// Gives the one final answer; later ones find it taken.
+    fn answer(&mut self, id: RequestId, answer: Answer) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        if let Some(reply) = open.reply.take() {
+            self.ids.remove(&open.ticket);
+            // A client that left in this moment has told so or will; the queue holds it.
+            let _ = reply.send(answer);
+        }
+    }
+
+    /// Drops a request that is answered and has nothing out.
+    fn forget(&mut self, id: RequestId) {
+        if self.open.get(&id).is_some_and(|o| o.reply.is_none() && !o.out()) {
+            self.open.remove(&id);
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        self.pending.push_back(event);
+        let mut actions = Vec::new();
+        while let Some(event) = self.pending.pop_front() {
+            self.balancer.handle(self.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(action);
+            }
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { id, server, timeout } => self.send(id, server, timeout),
+            Action::Refuse { id, retry_after } => {
+                self.answer(id, Answer::Refused(retry_after));
+                self.forget(id);
+            }
+            Action::Fail { id } => {
+                self.answer(id, Answer::Failed);
+                self.forget(id);
+            }
+            Action::Cancel { id, attempt } => drop(self.orders.upstream.send(Order::Cancel(id, attempt))),
+            Action::Timer { delay, token } => {
+                self.timers.insert((self.clock.now().saturating_add(delay), token));
+            }
+            Action::Subscribe(on) => drop(self.orders.discovery.send(Ask::Watch(on))),
+            Action::FetchAll => drop(self.orders.discovery.send(Ask::All)),
+            Action::Probe { server } => match self.servers.get(&server) {
+                Some(&(address, _)) => drop(self.orders.upstream.send(Order::Probe(server, address))),
+                None => warn!(self.log, "a probe of a server that is not listed"; "server" => server.0),
+            },
+            Action::Tell { to, data } => drop(self.orders.peers.send((to, data))),
+            Action::CloseIdle { server } => drop(self.orders.upstream.send(Order::CloseIdle(server))),
+            Action::Log(text) => info!(self.log, "{}", text),
+        }
+    }
+
+    fn send(&mut self, id: RequestId, server: ServerId, timeout: Option<Micros>) {
+        let now = self.clock.now();
+        let Some(open) = self.open.get_mut(&id) else {
+            warn!(self.log, "a send for a request that is over"; "request" => id);
+            return;
+        };
+        let number = open.attempts.len() as u32;
+        // Guards rule 2 whatever the module asks: never more attempts, or together, than is permitted.
+        let over = open.reply.is_none() || number >= self.limits.most_tries || now >= open.expires;
+        let together = !self.limits.may_duplicate && open.out();
+        let address = self.servers.get(&server).map(|s| s.0);
+        let (true, Some(address)) = (!over && !together, address) else {
+            warn!(self.log, "a send that may not be"; "request" => id, "server" => server.0);
+            open.attempts.push((server, now, false));
+            let (outcome, finished) = (Outcome::Moot, open.reply.is_none());
+            let (attempt, latency, load) = (number, 0, None);
+            let settled = Settled { id, server, attempt, outcome, latency, finished, load };
+            return self.pending.push_back(Event::Settled(settled));
+        };
+        open.attempts.push((server, now, true));
+        let until = timeout.map_or(open.expires, |t| open.expires.min(now + t));
+        let payload = Rc::clone(&open.payload);
+        let _ =
+            self.orders.upstream.send(Order::Send(Attempt { id, number, server, address, until, payload }));
+    }
+}
--- /dev/null
+++ b/src/net/listener.rs
@@ -0,0 +1,329 @@
+//! The side of the client: HTTP/1.1 by actix-http. Each connection is one task; a request is checked, queued,
+//! and answered when the driver says so.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::header::{ALLOW, CONTENT_LENGTH, HeaderValue, RETRY_AFTER};
+use actix_http::{
+    ConnectionType, Extensions, HttpMessage as _, HttpService, KeepAlive, Method, Request, Response,
+    StatusCode,
+};
+use actix_service::{Service as _, ServiceFactory as _, fn_service};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt as _;
+use ironmast::wire::Setup;
+use ironmast::{Effect, Micros};
+use slog::{Logger, warn};
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, oneshot};
+
+use super::clock::Clock;
+use super::message::{Answer, Arrival, Message, Payload, Queue, Ticket};
+use super::sockets::{Budget, Tap, Tapped};
+
+/// A body holds no more than this.
+const BODY_MOST: usize = 64 * 1024;
+/// After an accept that failed, the next waits this long.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// What the listener shares with its connections.
+pub struct Front {
+    /// The settings' names and classes.
+    pub setup: Setup,
+    /// The time.
+    pub clock: Clock,
+    /// To the driver.
+    pub queue: Queue,
+    /// Where remarks go.
+    pub log: Logger,
+    /// A list of servers is held.
+    pub ready: Rc<Cell<bool>>,
+    /// The program is about to end: answers close their connections.
+    closing: Cell<bool>,
+    doors: RefCell<BTreeMap<u64, Rc<Door>>>,
+    empty: Notify,
+}
+
+/// What is known of one client connection.
+struct Door {
+    /// Requests begun on it and not answered.
+    busy: Cell<bool>,
+    left: Cell<bool>,
+    used: Cell<Micros>,
+    close: Notify,
+    clock: Clock,
+}
+
+impl Tap for Rc<Door> {
+    fn ended(&self) {
+        self.left.set(true);
+        self.close.notify_one();
+    }
+}
+
+impl Front {
+    /// A listener's shared part.
+    pub fn new(setup: Setup, clock: Clock, queue: Queue, log: Logger, ready: Rc<Cell<bool>>) -> Rc<Self> {
+        let (closing, doors, empty) = Default::default();
+        Rc::new(Front { setup, clock, queue, log, ready, closing, doors, empty })
+    }
+
+    /// Closes the connection that has been idle longest, if there is one.
+    fn close_oldest(&self) {
+        let doors = self.doors.borrow();
+        if let Some(door) = doors.values().filter(|d| !d.busy.get()).min_by_key(|d| d.used.get()) {
+            door.close.notify_one();
+        }
+    }
+
+    /// Accepts until told to stop.
+    pub async fn accept(self: Rc<Self>, listener: TcpListener, budget: Budget) {
+        let front = Rc::downgrade(&self);
+        budget.when_scarce(move || {
+            if let Some(front) = front.upgrade() {
+                front.close_oldest();
+            }
+        });
+        let mut number = 0;
+        loop {
+            // The slot comes first: guards against accepting what could not be served.
+            let Some(slot) = budget.take() else {
+                budget.returned().await;
+                continue;
+            };
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    number += 1;
+                    let door = Rc::new(Door {
+                        busy: Cell::default(),
+                        left: Cell::default(),
+                        used: Cell::new(self.clock.now()),
+                        close: Notify::new(),
+                        clock: self.clock,
+                    });
+                    self.doors.borrow_mut().insert(number, Rc::clone(&door));
+                    let stream = Tapped::new(stream, Rc::clone(&door), slot);
+                    actix_rt::spawn(Rc::clone(&self).serve(number, door, stream));
+                }
+                Err(error) => {
+                    // Guards against spinning where descriptors have run out.
+                    warn!(self.log, "accept failed"; "why" => %error);
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn serve(self: Rc<Self>, number: u64, door: Rc<Door>, stream: Tapped<Rc<Door>>) {
+        let front = Rc::clone(&self);
+        let handler = fn_service(move |request: Request| {
+            let front = Rc::clone(&front);
+            async move { Ok::<_, Infallible>(front.handle(request).await) }
+        });
+        // No time-outs of actix-http's own: its first would answer 408 on connections opened in advance.
+        let service = HttpService::build()
+            .keep_alive(KeepAlive::Os)
+            .client_request_timeout(Duration::ZERO)
+            .client_disconnect_timeout(Duration::from_secs(1))
+            .on_connect_ext(|io: &Tapped<Rc<Door>>, data: &mut Extensions| {
+                drop(data.insert(Rc::clone(&io.tap)))
+            })
+            .h1(handler);
+        if let Ok(service) = service.new_service(()).await {
+            let connection = service.call((stream, None));
+            tokio::pin!(connection);
+            loop {
+                tokio::select! {
+                    biased;
+                    _ = &mut connection => break,
+                    // actix-http does not drop a handler whose client has left: this does, and the drop of its
+                    // `Waiting` tells the driver. Idle connections are closed here too.
+                    () = door.close.notified() => if door.left.get() || !door.busy.get() { break },
+                }
+            }
+        }
+        self.doors.borrow_mut().remove(&number);
+        if self.doors.borrow().is_empty() {
+            self.empty.notify_one();
+        }
+    }
+
+    /// Closes idle connections, lets busy ones finish, and returns when none is left.
+    pub async fn finish(&self) {
+        self.closing.set(true);
+        while !self.doors.borrow().is_empty() {
+            self.doors.borrow().values().for_each(|door| door.close.notify_one());
+            self.empty.notified().await;
+        }
+    }
+
+    async fn handle(&self, mut request: Request) -> Response<BoxBody> {
+        let arrived = self.clock.now();
+        let door = request.conn_data::<Rc<Door>>().map(Rc::clone);
+        let _busy = door.map(Busy::new);
+        let mut response = match self.check(&mut request, arrived).await {
+            Ok((class, arrival)) => self.ask(class, arrival).await,
+            Err(response) => response,
+        };
+        if self.closing.get() {
+            response.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        response
+    }
+
+    /// Everything that can be wrong with a request is found here, before the module hears of it.
+    async fn check(
+        &self,
+        request: &mut Request,
+        arrived: Micros,
+    ) -> Result<(usize, Checked), Response<BoxBody>> {
+        let plain = |status: StatusCode, text: &'static str| {
+            Err(Response::with_body(status, text).map_into_boxed_body())
+        };
+        if request.path() == "/health/ready" {
+            return match (request.method() == Method::GET, self.ready.get()) {
+                (false, _) => Err(not_allowed("GET")),
+                (true, true) => plain(StatusCode::OK, "ready\n"),
+                (true, false) => plain(StatusCode::SERVICE_UNAVAILABLE, "no list of servers is held\n"),
+            };
+        }
+        let first = request.path().trim_start_matches('/').split('/').next().unwrap_or("");
+        let Some(class) = self.setup.classes.iter().position(|c| c == first) else {
+            return plain(StatusCode::NOT_FOUND, "no such class\n");
+        };
+        let settings = &self.setup.settings.classes[class];
+        let safe = settings.effect == Effect::Free;
+        let method = if safe { Method::GET } else { Method::POST };
+        if *request.method() != method {
+            return Err(not_allowed(if safe { "GET" } else { "POST" }));
+        }
+        let header = |name: &str| request.headers().get(name).map(HeaderValue::as_bytes);
+        let Some(txn) = header("X-Txn").filter(|v| !v.is_empty()).map(<[u8]>::to_vec) else {
+            return plain(StatusCode::BAD_REQUEST, "X-Txn is missing\n");
+        };
+        let key = header("Idempotency-Key").map(<[u8]>::to_vec);
+        if matches!(settings.effect, Effect::Guarded { .. }) && key.is_none() {
+            return plain(StatusCode::BAD_REQUEST, "Idempotency-Key is missing\n");
+        }
+        let left = match header("X-Remaining").map(remaining) {
+            None => settings.deadline,
+            Some(Some(left)) => left,
+            Some(None) => return plain(StatusCode::BAD_REQUEST, "X-Remaining is malformed\n"),
+        };
+        let org = header("X-Org");
+        let tenant = self.setup.tenants.iter().position(|t| org == Some(t.as_bytes()));
+        let client_retry = header("X-Resent") == Some(b"1");
+        let announced =
+            header(CONTENT_LENGTH.as_str()).and_then(|v| std::str::from_utf8(v).ok()?.parse().ok());
+        let query = request.uri().query().unwrap_or("");
+        let subject = query.split('&').find_map(|pair| pair.strip_prefix("k=")?.parse().ok());
+        let target = request.uri().path_and_query().map_or("/", |p| p.as_str()).to_string();
+        let mut body = BytesMut::new();
+        let mut payload = request.take_payload();
+        let mut whole = announced.unwrap_or(0usize) <= BODY_MOST;
+        while whole && let Some(part) = payload.next().await {
+            let Ok(part) = part else { return plain(StatusCode::BAD_REQUEST, "the body is incomplete\n") };
+            whole = body.len() + part.len() <= BODY_MOST;
+            body.extend_from_slice(&part);
+        }
+        if !whole {
+            return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n");
+        }
+        let payload = Rc::new(Payload { safe, target, txn, key, body: body.freeze() });
+        Ok((class, Checked { tenant, subject, client_retry, expires: arrived + left, payload }))
+    }
+
+    /// Hands a request to the driver and waits for its answer.
+    async fn ask(&self, class: usize, checked: Checked) -> Response<BoxBody> {
+        let Checked { tenant, subject, client_retry, expires, payload } = checked;
+        let (reply, answer) = oneshot::channel();
+        let ticket = self.queue.ticket();
+        let arrival = Arrival { ticket, class, tenant, subject, client_retry, expires, payload, reply };
+        self.queue.say(Message::Arrived(arrival));
+        let mut waiting = Waiting { ticket, queue: &self.queue, answered: false };
+        let answer = answer.await;
+        waiting.answered = true;
+        match answer {
+            Ok(Answer::Served(body)) => Response::with_body(StatusCode::OK, body).map_into_boxed_body(),
+            Ok(Answer::Refused(after)) => {
+                let body = Bytes::from_static(b"refused\n");
+                let mut response = Response::with_body(StatusCode::SERVICE_UNAVAILABLE, body);
+                if let Some(after) = after.filter(|&after| after > 0) {
+                    let seconds = format!("{:.3}", after as f64 / 1e6);
+                    let value = HeaderValue::from_str(&seconds).expect("digits and a point");
+                    response.headers_mut().insert(RETRY_AFTER, value);
+                }
+                response.map_into_boxed_body()
+            }
+            Ok(Answer::Failed) | Err(_) => {
+                Response::with_body(StatusCode::BAD_GATEWAY, "failed\n").map_into_boxed_body()
+            }
+        }
+    }
+}
+
+/// A request in which nothing is wrong.
+struct Checked {
+    tenant: Option<usize>,
+    subject: Option<u64>,
+    client_retry: bool,
+    expires: Micros,
+    payload: Rc<Payload>,
+}
+
+/// Keeps a connection from counting as idle.
+struct Busy(Rc<Door>);
+
+impl Busy {
+    fn new(door: Rc<Door>) -> Self {
+        door.busy.set(true);
+        Busy(door)
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.busy.set(false);
+        self.0.used.set(self.0.clock.now());
+    }
+}
+
+/// A request at the driver: dropped unanswered, its client has left.
+struct Waiting<'a> {
+    ticket: Ticket,
+    queue: &'a Queue,
+    answered: bool,
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.queue.say(Message::Left(self.ticket));
+        }
+    }
+}
+
+fn not_allowed(method: &'static str) -> Response<BoxBody> {
+    let mut response = Response::with_body(StatusCode::METHOD_NOT_ALLOWED, "method not allowed\n");
+    response.headers_mut().insert(ALLOW, HeaderValue::from_static(method));
+    response.map_into_boxed_body()
+}
+
+/// Reads `480m` or `480000u`.
+fn remaining(value: &[u8]) -> Option<Micros> {
+    let (unit, number) = value.split_last()?;
+    let scale = match unit {
+        b'm' => 1_000,
+        b'u' => 1,
+        _ => return None,
+    };
+    let digits = number.iter().all(u8::is_ascii_digit);
+    // Longer than any deadline makes no sense, and must not overflow the clock.
+    let number: Micros = std::str::from_utf8(number).ok().filter(|_| digits)?.parse().ok()?;
+    number.checked_mul(scale).filter(|&left| left < 1_000_000_000_000)
+}
--- /dev/null
+++ b/src/net/message.rs
@@ -0,0 +1,172 @@
+//! What socket code and the driver say to each other. No word of HTTP here: a second protocol says the same.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use ironmast::{ClassId, LoadReport, Micros, Outcome, RequestId, Scope, Server, ServerId, TenantId};
+use tokio::sync::{mpsc, oneshot};
+
+/// Names one request on its way from a listener to the driver.
+pub type Ticket = u64;
+
+/// What a pay server needs of a request, passed through unchanged.
+#[derive(Debug)]
+pub struct Payload {
+    /// True where the request may be repeated freely (it then has no body).
+    pub safe: bool,
+    /// Path and query, byte for byte.
+    pub target: String,
+    /// The client's name for the request.
+    pub txn: Vec<u8>,
+    /// The key under which repeats are dropped.
+    pub key: Option<Vec<u8>>,
+    /// The body, byte for byte.
+    pub body: Bytes,
+}
+
+/// A request that a client handed over.
+#[derive(Debug)]
+pub struct Arrival {
+    /// Its name in the queue.
+    pub ticket: Ticket,
+    /// Its class.
+    pub class: ClassId,
+    /// Its tenant, where there are tenants.
+    pub tenant: Option<TenantId>,
+    /// What it is about.
+    pub subject: Option<u64>,
+    /// The client says that it is trying again.
+    pub client_retry: bool,
+    /// Clock reading at which the client gives up.
+    pub expires: Micros,
+    /// What goes to the pay server.
+    pub payload: Rc<Payload>,
+    /// Where the one final answer goes.
+    pub reply: oneshot::Sender<Answer>,
+}
+
+/// The one final answer to a request.
+#[derive(Debug)]
+pub enum Answer {
+    /// A pay server's answer, unchanged.
+    Served(Bytes),
+    /// Refused: trying again is harmless, after a while at best.
+    Refused(Option<Micros>),
+    /// Failed, with no promise about effects.
+    Failed,
+}
+
+/// One attempt at a request, for the pay server named.
+#[derive(Debug)]
+pub struct Attempt {
+    /// The request, and the attempt's number.
+    pub id: RequestId,
+    /// 0, 1, 2 ... in the order of the sends.
+    pub number: u32,
+    /// The pay server.
+    pub server: ServerId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Clock reading at which waiting ends.
+    pub until: Micros,
+    /// What to send.
+    pub payload: Rc<Payload>,
+}
+
+/// How an attempt ended; its connection is given up or idle again by then.
+#[derive(Debug)]
+pub struct Ended {
+    /// The request.
+    pub id: RequestId,
+    /// The attempt.
+    pub number: u32,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// The answer's body, where it was served.
+    pub body: Bytes,
+    /// The load report, when one came along.
+    pub load: Option<LoadReport>,
+}
+
+/// An entry of discovery's list.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// What the module is told.
+    pub server: Server,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// To the driver.
+#[derive(Debug)]
+pub enum Message {
+    /// A request arrived.
+    Arrived(Arrival),
+    /// The client of a request left before its answer.
+    Left(Ticket),
+    /// An attempt ended.
+    Ended(Ended),
+    /// A probe ended: of whom, how, after how long, with which report.
+    Probed(ServerId, Outcome, Micros, Option<LoadReport>),
+    /// News from discovery.
+    Listed(Scope, Vec<Entry>),
+    /// A datagram from the peer of that number.
+    Peer(u32, Vec<u8>),
+}
+
+/// To the keeper of the connections to pay servers.
+#[derive(Debug)]
+pub enum Order {
+    /// Begin an attempt.
+    Send(Attempt),
+    /// Stop waiting for one.
+    Cancel(RequestId, u32),
+    /// Probe a pay server.
+    Probe(ServerId, SocketAddr),
+    /// Close the idle connections to it.
+    CloseIdle(ServerId),
+    /// It drains or is gone: write no request to it any more.
+    Retire(ServerId),
+    /// It takes requests again.
+    Admit(ServerId),
+}
+
+/// To discovery.
+#[derive(Debug)]
+pub enum Ask {
+    /// Begin (or end) watching.
+    Watch(bool),
+    /// Fetch the whole list once.
+    All,
+}
+
+/// To the peers: one of them, or all.
+pub type Tell = (Option<u32>, Vec<u8>);
+
+/// The way to the driver, shared by all that feed it.
+#[derive(Clone)]
+pub struct Queue {
+    to: mpsc::UnboundedSender<Message>,
+    tickets: Rc<Cell<Ticket>>,
+}
+
+impl Queue {
+    /// A queue and the end the driver reads.
+    pub fn new() -> (Self, mpsc::UnboundedReceiver<Message>) {
+        let (to, from) = mpsc::unbounded_channel();
+        (Queue { to, tickets: Rc::default() }, from)
+    }
+
+    /// A ticket nobody else holds.
+    pub fn ticket(&self) -> Ticket {
+        self.tickets.set(self.tickets.get() + 1);
+        self.tickets.get()
+    }
+
+    /// Says something to the driver. It outlives all that speak to it, so nothing is lost.
+    pub fn say(&self, message: Message) {
+        let _ = self.to.send(message);
+    }
+}
--- /dev/null
+++ b/src/net/upstream.rs
@@ -0,0 +1,241 @@
+//! Attempts at pay servers. One awc client for each holds its idle connections: dropping it closes them. An
+//! attempt is cancelled by dropping its future, connection and all; only then is its end told.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use actix_http::header::{HeaderMap, HeaderValue};
+use actix_rt::net::TcpStream;
+use actix_service::fn_service;
+use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
+use awc::http::Uri;
+use awc::{Client, Connector};
+use bytes::Bytes;
+use ironmast::wire::LoadNames;
+use ironmast::{LoadReport, Micros, Outcome, RequestId, ServerId};
+use slog::{Logger, warn};
+use tokio::sync::{mpsc, oneshot};
+
+use super::clock::Clock;
+use super::message::{Attempt, Ended, Message, Order, Queue};
+use super::sockets::{Budget, Tap, Tapped};
+
+/// A body holds no more than this.
+pub const BODY_MOST: usize = 64 * 1024;
+/// Pay servers are told this much less than the time left: their answer still has to travel.
+const MARGIN: Micros = 2_000;
+/// A probe is given up after this.
+const PROBE: Duration = Duration::from_millis(250);
+
+tokio::task_local! {
+    /// What the attempt polled at the moment has written, and whether it still may.
+    static WRITING: Rc<Writing>;
+}
+
+/// One attempt's view of its connection.
+#[derive(Default)]
+struct Writing {
+    bytes: Cell<usize>,
+    server: Option<ServerId>,
+    retired: Retired,
+}
+
+type Retired = Rc<RefCell<BTreeSet<ServerId>>>;
+
+/// Tells the attempt at hand of its writes. A connection serves one attempt after another, and each is polled
+/// in a task of its own, so the task knows whose bytes these are.
+struct Meter;
+
+impl Tap for Meter {
+    fn may_write(&self) -> io::Result<()> {
+        let late =
+            |w: &Rc<Writing>| w.bytes.get() == 0 && w.server.is_some_and(|s| w.retired.borrow().contains(&s));
+        match WRITING.try_with(late) {
+            // Guards rule 3: the drain was heard between the decision and this first byte.
+            Ok(true) => Err(io::Error::new(io::ErrorKind::NotConnected, "the server takes nothing new")),
+            _ => Ok(()),
+        }
+    }
+
+    fn wrote(&self, bytes: usize) {
+        let _ = WRITING.try_with(|w| w.bytes.set(w.bytes.get() + bytes));
+    }
+}
+
+/// An HTTP client without a will of its own: no time-out, redirect, extra header or cap; a connection must
+/// come up within `connect` and is not used again after `idle`.
+pub fn client(budget: Budget, connect: Duration, idle: Duration) -> Client {
+    let dial = move |info: ConnectInfo<Uri>| {
+        let budget = budget.clone();
+        async move {
+            let refused = |why: &str| ConnectError::Io(io::Error::other(why.to_string()));
+            let uri = info.request().clone();
+            let address: Option<SocketAddr> = uri.authority().and_then(|a| a.as_str().parse().ok());
+            let address = address.ok_or_else(|| refused("not an address"))?;
+            let slot = budget.take().ok_or_else(|| refused("no descriptor is free"))?;
+            let stream = TcpStream::connect(address).await.map_err(ConnectError::Io)?;
+            Ok::<_, ConnectError>(Connection::new(uri, Tapped::new(stream, Meter, slot)))
+        }
+    };
+    // The pool is for one server; its age limit would close good connections.
+    let connector = Connector::new()
+        .connector(fn_service(dial))
+        .timeout(connect)
+        .conn_keep_alive(idle)
+        .conn_lifetime(Duration::from_secs(365 * 86_400))
+        .limit(0);
+    Client::builder().connector(connector).disable_timeout().disable_redirects().no_default_headers().finish()
+}
+
+/// What the settings say of connections.
+#[derive(Clone)]
+pub struct Rules {
+    /// A connection not up within this failed.
+    pub connect: Duration,
+    /// Pay servers close connections idle for this long.
+    pub keepalive: Duration,
+    /// The names in load reports.
+    pub load: LoadNames,
+}
+
+/// Keeps the connections to pay servers.
+pub struct Upstream {
+    rules: Rules,
+    clock: Clock,
+    log: Logger,
+    budget: Budget,
+    queue: Queue,
+    clients: Rc<RefCell<BTreeMap<ServerId, (SocketAddr, Client)>>>,
+    retired: Retired,
+    out: BTreeMap<(RequestId, u32), oneshot::Sender<()>>,
+}
+
+impl Upstream {
+    /// A keeper without connections.
+    pub fn new(rules: Rules, clock: Clock, log: Logger, budget: Budget, queue: Queue) -> Self {
+        let clients: Rc<RefCell<BTreeMap<_, (SocketAddr, Client)>>> = Rc::default();
+        let idle = Rc::downgrade(&clients);
+        budget.when_scarce(move || {
+            if let Some(clients) = idle.upgrade() {
+                clients.borrow_mut().clear();
+            }
+        });
+        let (retired, out) = Default::default();
+        Upstream { rules, clock, log, budget, queue, clients, retired, out }
+    }
+
+    /// Carries out orders until none can come any more.
+    pub async fn run(mut self, mut orders: mpsc::UnboundedReceiver<Order>) {
+        while let Some(order) = orders.recv().await {
+            match order {
+                Order::Send(attempt) => self.send(attempt),
+                Order::Cancel(id, number) => drop(self.out.remove(&(id, number))),
+                Order::Probe(server, address) => self.probe(server, address),
+                Order::CloseIdle(server) => drop(self.clients.borrow_mut().remove(&server)),
+                Order::Retire(server) => {
+                    self.retired.borrow_mut().insert(server);
+                    self.clients.borrow_mut().remove(&server);
+                }
+                Order::Admit(server) => drop(self.retired.borrow_mut().remove(&server)),
+            }
+        }
+    }
+
+    fn client(&self, server: ServerId, address: SocketAddr) -> Client {
+        let mut clients = self.clients.borrow_mut();
+        if clients.get(&server).is_none_or(|c| c.0 != address) {
+            // Retired well before the server closes it: guards against a write that crosses that close.
+            let idle = self.rules.keepalive / 2;
+            let client = client(self.budget.clone(), self.rules.connect, idle);
+            clients.insert(server, (address, client));
+        }
+        clients[&server].1.clone()
+    }
+
+    fn send(&mut self, attempt: Attempt) {
+        self.out.retain(|_, cancel| !cancel.is_closed());
+        let (cancel, cancelled) = oneshot::channel::<()>();
+        self.out.insert((attempt.id, attempt.number), cancel);
+        let client = self.client(attempt.server, attempt.address);
+        let (server, retired) = (Some(attempt.server), Rc::clone(&self.retired));
+        let writing = Rc::new(Writing { server, retired, ..Writing::default() });
+        let (clock, queue, names) = (self.clock, self.queue.clone(), self.rules.load.clone());
+        actix_rt::spawn(async move {
+            let (id, number) = (attempt.id, attempt.number);
+            let until = clock.at(attempt.until).into();
+            let left = attempt.until.saturating_sub(clock.now() + MARGIN);
+            let call = WRITING.scope(Rc::clone(&writing), exchange(&client, &attempt, left, &names));
+            // What loses here is dropped before the end is told, and its connection with it.
+            let (outcome, body, load) = tokio::select! {
+                biased;
+                ended = call => ended.unwrap_or_else(|()| {
+                    // Nothing written proves that it never ran; a part might be the whole.
+                    let never = writing.bytes.get() == 0;
+                    (if never { Outcome::ConnectFailed } else { Outcome::Reset }, Bytes::new(), None)
+                }),
+                _ = cancelled => (Outcome::Cancelled, Bytes::new(), None),
+                () = tokio::time::sleep_until(until) => (Outcome::Timeout, Bytes::new(), None),
+            };
+            queue.say(Message::Ended(Ended { id, number, outcome, body, load }));
+        });
+    }
+
+    fn probe(&self, server: ServerId, address: SocketAddr) {
+        let client = self.client(server, address);
+        let (clock, queue, names) = (self.clock, self.queue.clone(), self.rules.load.clone());
+        let log = self.log.clone();
+        actix_rt::spawn(async move {
+            let sent = clock.now();
+            let call = async {
+                let mut answer = client.get(format!("http://{address}/stats")).send().await.ok()?;
+                let body = answer.body().limit(BODY_MOST).await.ok()?;
+                Some((answer.status(), names.report(std::str::from_utf8(&body).unwrap_or(""))))
+            };
+            let (outcome, load) = match tokio::time::timeout(PROBE, call).await {
+                Ok(Some((StatusCode::OK, load))) => (Outcome::Ok, load),
+                Ok(Some((status, _))) => {
+                    warn!(log, "a probe was turned away"; "status" => status.as_u16());
+                    (Outcome::Full, None)
+                }
+                Ok(None) => (Outcome::ConnectFailed, None),
+                Err(_) => (Outcome::Timeout, None),
+            };
+            queue.say(Message::Probed(server, outcome, clock.now().saturating_sub(sent), load));
+        });
+    }
+}
+
+type End = (Outcome, Bytes, Option<LoadReport>);
+
+/// Sends the request and reads the whole answer; an error where none came.
+async fn exchange(client: &Client, attempt: &Attempt, left: Micros, names: &LoadNames) -> Result<End, ()> {
+    let sent = &attempt.payload;
+    let url = format!("http://{}{}", attempt.address, sent.target);
+    let call = if sent.safe { client.get(url) } else { client.post(url) };
+    let value = |bytes: &[u8]| HeaderValue::from_bytes(bytes).map_err(|_| ());
+    let mut call = call.no_decompress().insert_header(("X-Txn", value(&sent.txn)?));
+    if let Some(key) = &sent.key {
+        call = call.insert_header(("Idempotency-Key", value(key)?));
+    }
+    call = call.insert_header(("X-Remaining", format!("{left}u")));
+    let sending = if sent.safe { call.send() } else { call.send_body(sent.body.clone()) };
+    let mut answer = sending.await.map_err(|_| ())?;
+    let (status, load) = (answer.status(), load(answer.headers(), names));
+    let turned = answer.headers().get("X-Turned-Away").is_some_and(|v| v.as_bytes() == b"1");
+    let body = answer.body().limit(2 * BODY_MOST).await.map_err(|_| ())?;
+    let outcome = match status {
+        StatusCode::OK => Outcome::Ok,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned => Outcome::Full,
+        _ => Outcome::Error,
+    };
+    Ok((outcome, body, load))
+}
+
+fn load(headers: &HeaderMap, names: &LoadNames) -> Option<LoadReport> {
+    names.report(headers.get("X-Pressure")?.to_str().ok()?)
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -123,8 +123,7 @@
     classes: Vec<String>,
     tenants: Vec<String>,
     zones: Vec<String>,
-    cpu_column: Option<usize>,
-    active_column: Option<usize>,
+    load: LoadNames,
 }
 
 /// Hosts any number of instances on one input and output.
@@ -307,22 +306,82 @@
             None => return flaw("params", format!("`{pair}` is not path=value")),
         };
     }
+    let Setup { settings, classes, tenants, zones, load, .. } = setup(pairs)?;
+    let balancer = Balancer::new(settings, seed).or_else(|e| flaw("params", e.to_string()))?;
+    Ok(Instance { servers: BTreeMap::new(), classes, tenants, zones, load, balancer })
+}
+
+/// The settings in the module's terms, with the names that others use for them.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// What the module is built from.
+    pub settings: Settings,
+    /// The classes' names, by [`crate::ClassId`].
+    pub classes: Vec<String>,
+    /// The tenants' names, by [`crate::TenantId`].
+    pub tenants: Vec<String>,
+    /// The zones' names, by [`crate::ZoneId`].
+    pub zones: Vec<String>,
+    /// The values in load reports.
+    pub load: LoadNames,
+    /// A connection not made within this counts as failed.
+    pub connect_timeout: Micros,
+    /// Servers close connections that were idle for this long.
+    pub keepalive: Micros,
+}
+
+impl Setup {
+    /// Reads settings that are given by path; the error names the path.
+    pub fn read(pairs: &BTreeMap<String, String>) -> Result<Setup, String> {
+        let pairs = pairs.iter().map(|(path, value)| (path.as_str(), value.as_str())).collect();
+        setup(pairs).map_err(|(field, problem)| format!("{field}: {problem}"))
+    }
+}
+
+fn setup(pairs: BTreeMap<&str, &str>) -> Parsed<Setup> {
     let params = Params { pairs };
-    let settings = params.settings()?;
     let names = |list: &str| params.items(list, "name");
-    let load = params.list("load_report.names");
-    let column = |name: &str| load.iter().position(|n| n == name);
-    Ok(Instance {
-        servers: BTreeMap::new(),
+    Ok(Setup {
+        settings: params.settings()?,
         classes: names("classes")?,
         tenants: names("tenants")?,
         zones: params.list("zones"),
-        cpu_column: column("cpu"),
-        active_column: column("active"),
-        balancer: Balancer::new(settings, seed).or_else(|e| flaw("params", e.to_string()))?,
+        load: LoadNames(params.list("load_report.names")),
+        connect_timeout: params.whole("limits.connect_timeout", 200_000)?,
+        keepalive: params.whole("limits.keepalive", 60_000_000)?,
     })
 }
 
+/// The names of the values in load reports, in their order.
+#[derive(Clone, Debug, Default)]
+pub struct LoadNames(pub Vec<String>);
+
+impl LoadNames {
+    /// A report of values in the order of the names.
+    fn row(&self, values: &[Option<f64>]) -> LoadReport {
+        let pick = |name: &str| {
+            let column = self.0.iter().position(|n| n == name);
+            column.and_then(|c| values.get(c).copied().flatten())
+        };
+        LoadReport { cpu: pick("cpu"), active: pick("active") }
+    }
+
+    /// Reads `TEXT inflight=7, util=0.61`; none where it holds nothing that is known.
+    pub fn report(&self, text: &str) -> Option<LoadReport> {
+        let mut report = LoadReport::default();
+        for pair in text.trim().trim_start_matches("TEXT").split(',') {
+            let Some((name, value)) = pair.split_once('=') else { continue };
+            let value = value.trim().parse().ok().filter(|v: &f64| v.is_finite());
+            match name.trim() {
+                "inflight" | "active" => report.active = value,
+                "util" | "cpu" => report.cpu = value,
+                _ => {}
+            }
+        }
+        (report != LoadReport::default()).then_some(report)
+    }
+}
+
 /// The settings as they came, by path.
 struct Params<'a> {
     pairs: BTreeMap<&'a str, &'a str>,
@@ -481,7 +540,7 @@
                     attempt: fields.number("hop")?,
                     latency: fields.number("lag")?,
                     finished: fields.bool("over")?,
-                    load: self.load(fields)?,
+                    load: self.report(fields)?,
                 })
             }
             "HEADERS" => {
@@ -495,7 +554,7 @@
             "CHECKED" => {
                 let server = ServerId::from_name(fields.named("backend")?);
                 let outcome = outcome(fields)?;
-                Event::Probed { server, outcome, latency: fields.number("lag")?, load: self.load(fields)? }
+                Event::Probed { server, outcome, latency: fields.number("lag")?, load: self.report(fields)? }
             }
             "INBOX" => Event::Peer { from: fields.number("from")?, data: bytes(fields.text("raw")?)? },
             _ => self.view(fields, sheets)?,
@@ -551,7 +610,7 @@
         Ok(Event::Members(Listing { scope, servers }))
     }
 
-    fn load(&self, fields: &mut Fields) -> Parsed<Option<LoadReport>> {
+    fn report(&self, fields: &mut Fields) -> Parsed<Option<LoadReport>> {
         let row = match fields.text("feedback")? {
             "-" | "" => return Ok(None),
             row => row,
@@ -560,8 +619,7 @@
         for value in row.split(',') {
             values.push(if value == "-" { None } else { Some(finite("feedback", value)?) });
         }
-        let pick = |column: Option<usize>| column.and_then(|c| values.get(c).copied().flatten());
-        Ok(Some(LoadReport { cpu: pick(self.cpu_column), active: pick(self.active_column) }))
+        Ok(Some(self.load.row(&values)))
     }
 
     fn write(&self, who: u64, action: &Action, out: &mut String) -> Parsed<()> {
