Refuse what no server has seen by a quarter of its time; each refusal has a stay-away

Giving up just before the half is worst: the client comes back with too little time left. At a quarter it comes back in time. src/balance.rs: place and progress held until useful_until alone; unsent_until is new.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -11,6 +11,8 @@
 
 /// Beats in the shortest aim: how often measurements fade and cold servers are granted requests.
 const BEATS_PER_AIM: u64 = 10;
+/// A request that reached no server is given up at this part of its time: later, nobody gains by the wait.
+const UNSENT_UNTIL: f64 = 0.25;
 /// How long arrivals and answers count in measured rates and idle connections stay; slowness in the trim.
 const RATE_MEMORY: f64 = 2_000_000.0;
 const LAG_MEMORY: f64 = 10_000_000.0;
@@ -449,7 +451,7 @@
     fn request(&mut self, request: Request, out: &mut Vec<Action>) {
         let id = request.id;
         if request.class >= self.usual.len() || request.expires <= self.now {
-            return out.push(self.refuse(id));
+            return out.push(self.refuse(id, request.class));
         }
         self.arrivals += 1.0;
         let earned = BUDGET_LEAST + BUDGET_WON * (self.won - WON_FROM).max(0.0);
@@ -461,7 +463,8 @@
         let turn = (Reverse((class.worth * 1000.0) as u64), Reverse(self.now), id);
         // Room in the own zone is waited for as much of the aim as crossing costs of the worth.
         let spill_at = self.now + (self.settings.penalties.cross_zone * class.aim as f64) as Micros;
-        self.open.insert(id, Open::new(request, turn, spill_at, self.now + class.aim, last));
+        let unsent_until = self.now + ((request.expires - self.now) as f64 * UNSENT_UNTIL) as Micros;
+        self.open.insert(id, Open::new(request, turn, spill_at, self.now + class.aim, unsent_until, last));
         self.place(id, out);
     }
 
@@ -470,7 +473,7 @@
         let Some(open) = self.open.get(&id) else { return false };
         let (set, key, turn) = (self.candidates(open), open.request.key, open.turn);
         let useful_until = open.aim_at.saturating_sub(self.usual[open.request.class].median as Micros);
-        let later = [open.spill_at, useful_until].map(|at| (at, id));
+        let later = [open.spill_at, useful_until, open.unsent_until].map(|at| (at, id));
         let Some(server) = self.draw(set, key) else {
             if self.held.insert(turn) {
                 self.due.extend(later);
@@ -503,6 +506,9 @@
         let class = &self.settings.classes[open.request.class];
         // Could an answer still come within the aim?
         let useful = self.now + (self.usual[open.request.class].median as Micros) < open.aim_at;
+        // Guards the client's time: what no server has seen by then is told to come back instead.
+        let unseen = open.attempts.iter().all(|a| a.outcome == Some(Outcome::ConnectFailed));
+        let useful = useful && !(unseen && self.now >= open.unsent_until);
         let may_copy = class.effect == Effect::Free && self.budget >= 1.0;
         match open.outstanding() {
             _ if self.now >= open.last => self.end(id, out),
@@ -573,12 +579,20 @@
         let Some(open) = self.open.get(&id) else { return };
         // Guards rule 2: "try again" only where nothing can have run.
         let ran = open.attempts.iter().any(Attempt::may_have_run);
-        out.push(if ran { Action::Fail { id } } else { self.refuse(id) });
+        out.push(if ran { Action::Fail { id } } else { self.refuse(id, open.request.class) });
         self.close(id, out);
     }
 
-    fn refuse(&self, id: RequestId) -> Action {
-        let limits = &self.settings.limits;
-        Action::Refuse { id, retry_after: limits.retry_after.then_some(limits.max_retry_after) }
+    /// Refuses, with a stay-away of its own for each: about as long as those held now take to be served by
+    /// what is usable, or a trial away where nothing is. Spread by the request's number: guards against
+    /// clients that all come back at once.
+    fn refuse(&self, id: RequestId, class: ClassId) -> Action {
+        let usable = self.nodes.values().filter(|n| n.server.phase == Phase::Ready && n.aside.is_none());
+        let room: f64 = usable.map(|n| n.limit).sum();
+        let took = self.usual.get(class).map_or(0.0, |u| u.median);
+        let wait = if room > 0.0 { took * (1.0 + self.held.len() as f64 / room) } else { ASIDE.0 as f64 };
+        let spread = 0.5 + unit(mix(self.salt ^ id));
+        let most = self.settings.limits.max_retry_after;
+        Action::Refuse { id, retry_after: Some(((wait * spread) as Micros).min(most)) }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -35,6 +35,8 @@
     /// From when on it may cross zones for room, when its aim passes, and when it must be ended.
     pub spill_at: Micros,
     pub aim_at: Micros,
+    /// When it is given up if no server has seen it.
+    pub unsent_until: Micros,
     pub last: Micros,
     pub attempts: Vec<Attempt>,
     /// The client has its answer or left: nothing may be sent any more.
@@ -44,9 +46,16 @@
 }
 
 impl Open {
-    pub fn new(request: Request, turn: Turn, spill_at: Micros, aim_at: Micros, last: Micros) -> Self {
+    pub fn new(
+        request: Request,
+        turn: Turn,
+        spill_at: Micros,
+        aim_at: Micros,
+        unsent_until: Micros,
+        last: Micros,
+    ) -> Self {
         let (done, streaming) = (false, false);
-        Open { request, turn, spill_at, aim_at, last, attempts: Vec::new(), done, streaming }
+        Open { request, turn, spill_at, aim_at, unsent_until, last, attempts: Vec::new(), done, streaming }
     }
 
     pub fn tries_left(&self, limits: &Limits) -> bool {
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -747,3 +747,25 @@
     d.request(1, 7);
     assert!(d.refused.contains_key(&1), "a class that does not exist");
 }
+
+/// Behind a full server requests were held until their aim was lost, and their clients could not try elsewhere.
+#[test]
+fn what_no_server_has_seen_is_refused_early_with_a_stay_away_of_its_own() {
+    let slow = ClassSettings { aim: 800 * MS, ..class(Effect::SingleShot) };
+    let mut d = Driver::new(settings(vec![slow]));
+    d.list(Scope::Complete, vec![server(1, 0)]);
+    (1..=40).for_each(|id| d.request(id, 0));
+    let sent = d.sends.len();
+    d.pass(260 * MS);
+    let held = 40 - sent;
+    assert!(held > 1 && d.refused.len() == held, "{held} held, refused: {:?}", d.refused);
+    assert!(d.refused.values().all(|&at| at < d.now), "given up in the first quarter of their second");
+    let mut away = BTreeSet::new();
+    for action in &d.actions {
+        if let Action::Refuse { retry_after, .. } = action {
+            away.insert(retry_after.expect("a stay-away"));
+        }
+    }
+    assert!(away.iter().all(|&a| a > 0 && a <= SECOND), "{away:?}");
+    assert!(away.len() > held / 2, "clients come back at different times: {away:?}");
+}
