--- a/src/main.rs
+++ b/src/main.rs
@@ -53,6 +53,7 @@
     let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("{listen}: {e}"))?;
+    let listen = listener.local_addr().map_err(|e| e.to_string())?;
     let socket = match config.peer_listen {
         Some(at) => Some(UdpSocket::bind(at).await.map_err(|e| format!("{at}: {e}"))?),
         None => None,
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -171,8 +171,10 @@
             self.servers.remove(&id);
             let _ = self.orders.upstream.send(Order::Retire(id));
         }
-        let servers = entries.into_iter().map(|e| e.server).collect();
+        let servers: Vec<_> = entries.into_iter().map(|e| e.server).collect();
+        let entries = servers.len();
         self.event(Event::Members(Listing { scope, servers }));
+        info!(self.log, "list told: {:?}", scope; "entries" => entries, "held" => self.servers.len());
     }
 
     /// Gives the one final answer; later ones find it taken.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A driver for one balancer: feeds events, keeps what was sent and answered, fires timers in order.
 #![allow(dead_code)]
 
+pub mod proxy;
+
 use std::collections::{BTreeMap, BTreeSet};
 
 use ironmast::*;
--- /dev/null
+++ b/tests/common/proxy.rs
@@ -0,0 +1,176 @@
+//! Plays a recorded exchange against the program and writes down what the program said.
+//!
+//! A line of a script is `PARTY VERB TEXT`; parties are `clientN`, `serverN`, `discovery` and `proxy`. `>` sends
+//! the text (`\r`, `\n` escaped), `<` reads one message, `close` closes, `eof` waits until the program closes.
+//! `discovery list true|false UID.ZONE.STATE ...` is a line of the watch. `proxy log TEXT` waits for a line of
+//! the log, `proxy term` sends SIGTERM, `proxy exit` waits for the end. Nothing sleeps: all wait for bytes.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::time::Duration;
+
+/// What never comes fails the test after this.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+pub struct Proxy {
+    child: Child,
+    log: BufReader<ChildStderr>,
+    listen: String,
+    listeners: BTreeMap<String, TcpListener>,
+    open: BTreeMap<String, BufReader<TcpStream>>,
+    said: String,
+    rev: u64,
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Runs the program with a configuration file of that text.
+pub fn start(config: &str) -> Child {
+    let file = tempfile::NamedTempFile::new().expect("a file");
+    std::fs::write(file.path(), config).expect("written");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ironmast"));
+    command.env("GW_CONFIG", file.path()).stderr(Stdio::piped());
+    for name in ["GW_NAME", "GW_LISTEN", "GW_DISCOVERY"] {
+        command.env_remove(name);
+    }
+    let mut child = command.spawn().expect("the program starts");
+    // It is read before the first line is written, or the program has ended.
+    let fd = child.stderr.as_mut().expect("piped");
+    let mut first = [0];
+    fd.read_exact(&mut first).expect("a first line");
+    child
+}
+
+pub fn play(script: &str) -> String {
+    let names = ["discovery", "server1", "server2"];
+    let bind = |name: &str| (name.to_string(), TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let listeners: BTreeMap<String, TcpListener> = names.map(bind).into();
+    let discovery = listeners["discovery"].local_addr().expect("bound").to_string();
+    let config = include_str!("../exchanges/config.json").replace("{discovery}", &discovery);
+    let mut child = start(&config);
+    let log = BufReader::new(child.stderr.take().expect("piped"));
+    let (listen, open, said) = Default::default();
+    let mut proxy = Proxy { child, log, listen, listeners, open, said, rev: 0 };
+    let serving = proxy.wait_log("listen: ");
+    let address = |text: &str| text.split(|c: char| !"0123456789.:".contains(c)).next().map(str::to_string);
+    proxy.listen = serving.split_once("listen: ").and_then(|(_, rest)| address(rest)).expect("an address");
+    for line in script.lines().filter(|l| !l.trim().is_empty() && !l.starts_with('#')) {
+        proxy.step(line);
+    }
+    std::mem::take(&mut proxy.said)
+}
+
+impl Proxy {
+    fn step(&mut self, line: &str) {
+        let mut words = line.splitn(3, ' ');
+        let (party, verb) = (words.next().expect("a party"), words.next().expect("a verb"));
+        let text = words.next().unwrap_or("");
+        match (party, verb) {
+            ("proxy", "log") => drop(self.wait_log(text)),
+            ("proxy", "term") => {
+                let id = self.child.id().to_string();
+                assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+            }
+            ("proxy", "exit") => {
+                let status = self.child.wait().expect("it ends");
+                self.said += &format!("proxy exit {}\n", status.code().unwrap_or(-1));
+            }
+            (_, "list") => {
+                let list = self.list(text);
+                let chunk = format!("{:x}\r\n{list}\n\r\n", list.len() + 1);
+                self.stream(party).get_mut().write_all(chunk.as_bytes()).expect("written");
+            }
+            (_, ">") => {
+                let text = text.replace("\\r", "\r").replace("\\n", "\n");
+                self.stream(party).get_mut().write_all(text.as_bytes()).expect("written");
+            }
+            (_, "<") => {
+                let message = read_message(self.stream(party));
+                self.said += &format!("{party}: {message}\n");
+            }
+            (_, "close") => drop(self.open.remove(party)),
+            (_, "eof") => {
+                let end = self.stream(party).read(&mut [0]).map_or(0, |bytes| bytes);
+                assert_eq!(end, 0, "{party}: more came");
+                self.open.remove(party);
+                self.said += &format!("{party}: closed\n");
+            }
+            _ => panic!("not a step: {line}"),
+        }
+    }
+
+    /// The party's connection; a client opens it, the others wait for the program to.
+    fn stream(&mut self, party: &str) -> &mut BufReader<TcpStream> {
+        self.open.entry(party.to_string()).or_insert_with(|| {
+            let stream = match self.listeners.get(party) {
+                Some(listener) => listener.accept().expect("a connection").0,
+                None => TcpStream::connect(&self.listen).expect("it listens"),
+            };
+            stream.set_read_timeout(Some(PATIENCE)).expect("set");
+            BufReader::new(stream)
+        })
+    }
+
+    fn list(&mut self, text: &str) -> String {
+        let mut words = text.split(' ');
+        let all = words.next().expect("true or false");
+        let entry = |word: &str| {
+            let [uid, az, state] = word.split('.').collect::<Vec<_>>()[..] else { return word.to_string() };
+            let endpoint = self.listeners[uid].local_addr().expect("bound");
+            format!(
+                r#"{{"uid":"{uid}","endpoint":"{endpoint}","az":"{az}","model":"m","pod_group":1,"state":"{state}","capacity_hint":1.0,"boot_ms":0}}"#
+            )
+        };
+        let entries: Vec<String> = words.map(entry).collect();
+        self.rev += 1;
+        format!(r#"{{"rev":{},"all":{all},"targets":[{}]}}"#, self.rev, entries.join(","))
+    }
+
+    fn wait_log(&mut self, text: &str) -> String {
+        loop {
+            let mut line = String::new();
+            assert!(self.log.read_line(&mut line).expect("a log") > 0, "the log ended before `{text}`");
+            if line.contains(text) {
+                return line;
+            }
+        }
+    }
+}
+
+/// Reads one message, without what differs from run to run: date, addresses, times.
+fn read_message(from: &mut BufReader<TcpStream>) -> String {
+    let (mut lines, mut length) = (Vec::new(), 0);
+    loop {
+        let mut line = String::new();
+        assert!(from.read_line(&mut line).expect("a line") > 0, "closed after {lines:?}");
+        let line = line.trim_end().to_string();
+        let (name, value) = line.split_once(": ").unwrap_or((&line, ""));
+        match name.to_ascii_lowercase().as_str() {
+            "" => break,
+            "content-length" => length = value.parse().expect("a length"),
+            "date" | "host" => {}
+            "x-remaining" | "retry-after" => lines.push(format!("{name}: {}", shape(value))),
+            _ => lines.push(line),
+        }
+    }
+    lines[1..].sort();
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).expect("the body");
+    lines.push(body.escape_ascii().to_string());
+    lines.join(" | ")
+}
+
+/// The form of a number, digits left out.
+fn shape(value: &str) -> String {
+    let digits = value.replace(|c: char| c.is_ascii_digit(), "9");
+    let mut shape: Vec<char> = digits.chars().collect();
+    shape.dedup();
+    shape.into_iter().collect()
+}
