--- a/tests/common/proxy.rs
+++ b/tests/common/proxy.rs
@@ -4,7 +4,8 @@
 //! the text (`\r`, `\n` escaped), `<` reads one message, `close` closes, `eof` waits until the program closes,
 //! `refuse` stops listening.
 //! `discovery list true|false UID.ZONE.STATE ...` is a line of the watch. `proxy log TEXT` waits for a line of
-//! the log, `proxy term` sends SIGTERM, `proxy exit` waits for the end. Nothing sleeps: all wait for bytes.
+//! the log, `proxy term` sends SIGTERM, `proxy exit` waits for the end;
+//! `proxy sockets N` starts it with that many descriptors. Nothing sleeps: all wait for bytes.
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
@@ -54,7 +55,10 @@
     let bind = |name: &str| (name.to_string(), TcpListener::bind("127.0.0.1:0").expect("a port"));
     let listeners: BTreeMap<String, TcpListener> = names.map(bind).into();
     let discovery = listeners["discovery"].local_addr().expect("bound").to_string();
-    let config = include_str!("../exchanges/config.json").replace("{discovery}", &discovery);
+    let sockets = script.lines().find_map(|line| line.strip_prefix("proxy sockets ")).unwrap_or("1024");
+    let config = include_str!("../exchanges/config.json")
+        .replace("{discovery}", &discovery)
+        .replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
     let mut child = start(&config);
     let log = BufReader::new(child.stderr.take().expect("piped"));
     let (listen, open, said) = Default::default();
@@ -74,6 +78,7 @@
         let (party, verb) = (words.next().expect("a party"), words.next().expect("a verb"));
         let text = words.next().unwrap_or("");
         match (party, verb) {
+            ("proxy", "sockets") => {}
             ("proxy", "log") => drop(self.wait_log(text)),
             ("proxy", "term") => {
                 let id = self.child.id().to_string();
