--- a/src/main.rs
+++ b/src/main.rs
@@ -25,6 +25,8 @@
 
 /// After SIGTERM clients still come for up to 0.4 s and use what they have open.
 const STILL_OPEN: Duration = Duration::from_millis(700);
+/// Guards against a proxy that takes requests nobody decides on: it ends and is started again.
+const DRIVERLESS: &str = "the driver of the decision module has ended";
 
 fn main() -> ExitCode {
     let config = match Config::read(|name| std::env::var(name).ok()) {
@@ -83,7 +85,7 @@
     let held = Rc::clone(&ready);
     let orders = Orders { upstream: to_upstream, discovery: to_discovery, peers: to_peers };
     let driver = Driver::new(balancer, setup.settings.limits.clone(), clock, log.clone(), orders);
-    actix_rt::spawn(driver.run(messages, move || held.set(true)));
+    let mut driving = actix_rt::spawn(driver.run(messages, move || held.set(true)));
 
     let front = Front::new(setup, clock, queue, log.clone(), ready);
     let accepting = actix_rt::spawn(Rc::clone(&front).accept(listener, budget));
@@ -92,10 +94,13 @@
     tokio::select! {
         _ = term.recv() => {}
         _ = interrupt.recv() => {}
+        _ = &mut driving => return Err(DRIVERLESS.to_string()),
     }
     info!(log, "ending");
     tokio::time::sleep(STILL_OPEN).await;
     accepting.abort();
-    front.finish().await;
-    Ok(())
+    tokio::select! {
+        () = front.finish() => Ok(()),
+        _ = &mut driving => Err(DRIVERLESS.to_string()),
+    }
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -8,8 +8,6 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use super::discovery::List;
-
 /// All of it, checked.
 pub struct Config {
     /// The proxy's name.
@@ -28,8 +26,8 @@
     pub peers: Vec<SocketAddr>,
     /// Reaches them all.
     pub peers_all: Option<SocketAddr>,
-    /// The list as last held; may be old.
-    pub known: Option<List>,
+    /// The list as last held, in discovery's form; may be old.
+    pub known: Option<Value>,
     /// The settings.
     pub setup: Setup,
 }
@@ -81,7 +79,7 @@
             peer_listen: file.peer_listen,
             peers: file.peers,
             peers_all: file.peers_all,
-            known: file.known.as_ref().and_then(List::read),
+            known: file.known,
             setup: Setup::read(&pairs).map_err(|e| format!("{path}: settings: {e}"))?,
         })
     }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -25,8 +25,7 @@
 const LIST_MOST: usize = 4 << 20;
 
 /// A list in discovery's form, or changes to one.
-#[derive(Clone, Debug)]
-pub struct List {
+struct List {
     rev: u64,
     all: bool,
     entries: Vec<Value>,
@@ -54,13 +53,13 @@
 
 impl List {
     /// Reads a list; none if it is malformed.
-    pub fn read(value: &Value) -> Option<List> {
+    fn read(value: &Value) -> Option<List> {
         let Written { rev, all, targets } = Written::deserialize(value).ok()?;
         Some(List { rev, all, entries: targets })
     }
 
     /// Its entries in the module's terms; bad ones are skipped and logged.
-    pub fn entries(&self, zones: &mut Vec<String>, log: &Logger) -> Vec<Entry> {
+    fn entries(&self, zones: &mut Vec<String>, log: &Logger) -> Vec<Entry> {
         let read = |value: &Value| {
             let entry = Target::deserialize(value).map_err(|e| e.to_string()).and_then(|t| entry(t, zones));
             entry.map_err(|why| warn!(log, "an entry of the list is skipped"; "why" => why)).ok()
@@ -106,9 +105,13 @@
     }
 
     /// Tells the list that was held before this start; even an empty one sets the module going.
-    pub fn recall(&mut self, known: Option<&List>) {
-        self.rev = known.map(|list| list.rev);
-        let entries = known.map_or_else(Vec::new, |list| list.entries(&mut self.zones, &self.log));
+    pub fn recall(&mut self, known: Option<&Value>) {
+        let list = known.and_then(List::read);
+        if known.is_some() && list.is_none() {
+            warn!(self.log, "the list held before is malformed");
+        }
+        self.rev = list.as_ref().map(|list| list.rev);
+        let entries = list.map_or_else(Vec::new, |list| list.entries(&mut self.zones, &self.log));
         self.queue.say(Message::Listed(Scope::Cached, entries));
     }
 
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -184,6 +184,9 @@
         let writing = Rc::new(Writing { server, retired, ..Writing::default() });
         let (clock, queue, names) = (self.clock, self.queue.clone(), self.rules.load.clone());
         actix_rt::spawn(async move {
+            // One turn of the poller first: guards against writing to an idle connection whose close has
+            // arrived but has not been looked at, which would be a reset and look like a sick server.
+            tokio::task::yield_now().await;
             let (id, number) = (attempt.id, attempt.number);
             let until = clock.at(attempt.until).into();
             let left = attempt.until.saturating_sub(clock.now() + MARGIN);
@@ -263,3 +266,23 @@
 fn load(headers: &HeaderMap, names: &LoadNames) -> Option<LoadReport> {
     names.report(headers.get("X-Pressure")?.to_str().ok()?)
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// A drain heard between decision and first byte stops the write; a request begun before it is finished.
+    #[test]
+    fn nothing_new_is_written_to_a_retired_server() {
+        let (server, retired) = (Some(ServerId(7)), Retired::default());
+        let writing = Rc::new(Writing { server, retired: Rc::clone(&retired), ..Writing::default() });
+        WRITING.sync_scope(writing, || {
+            assert!(Meter.may_write().is_ok(), "not retired yet");
+            retired.borrow_mut().insert(ServerId(7), 0);
+            assert!(Meter.may_write().is_err(), "retired before the first byte");
+            Meter.wrote(10);
+            assert!(Meter.may_write().is_ok(), "the rest of a request already begun");
+        });
+        assert!(Meter.may_write().is_ok(), "discovery's own calls are no attempts");
+    }
+}
