Read the configuration again on SIGHUP and follow discovery to its new address

Checked: 129 is SIGHUP's default end; main.rs handled SIGTERM and SIGINT only. Lines at fault: `run` in main.rs (no handler), `Discovery` (its address was fixed), `Config::read` (GW_DISCOVERY of the environment prevails, and it is as old as the process).

Now the file is read again; a bad one is one line in the log and changes nothing; discovery's new address is called at once for the whole list, since its versions may count differently; other changes are logged as waiting for a restart. Test: exchange `reload` (without the change the program ends on the signal).

--- a/src/main.rs
+++ b/src/main.rs
@@ -14,11 +14,11 @@
 use net::discovery::Discovery;
 use net::driver::{Driver, Orders};
 use net::listener::Front;
-use net::message::Queue;
+use net::message::{Ask, Queue};
 use net::peers::Peers;
 use net::sockets::Budget;
 use net::upstream::{self, Upstream};
-use slog::{Drain as _, Logger, info, o};
+use slog::{Drain as _, Logger, info, o, warn};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc;
@@ -49,8 +49,10 @@
     }
 }
 
-async fn run(config: Config, log: Logger) -> Result<(), String> {
-    let Config { listen, setup, .. } = config;
+async fn run(mut config: Config, log: Logger) -> Result<(), String> {
+    // Before all else: guards against a SIGHUP that ends a program not yet listening for it.
+    let mut hang_up = signal(SignalKind::hangup()).map_err(|e| e.to_string())?;
+    let (listen, setup) = (config.listen, config.setup.clone());
     let balancer = Balancer::new(setup.settings.clone(), config.seed).map_err(|e| e.to_string())?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| e.to_string())?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| e.to_string())?;
@@ -65,6 +67,7 @@
     let (queue, messages) = Queue::new();
     let (to_upstream, upstream_orders) = mpsc::unbounded_channel();
     let (to_discovery, asks) = mpsc::unbounded_channel();
+    let to_new_address = to_discovery.clone();
     let (to_peers, tells) = mpsc::unbounded_channel();
     let connect = Duration::from_micros(setup.connect_timeout);
     let keepalive = Duration::from_micros(setup.keepalive);
@@ -78,7 +81,7 @@
     let rules = upstream::Rules { connect, keepalive, load: setup.load.clone() };
     let upstream = Upstream::new(rules, clock, log.clone(), budget.clone(), queue.clone());
     actix_rt::spawn(upstream.run(upstream_orders));
-    let (peers, all) = (config.peers, config.peers_all);
+    let (peers, all) = (config.peers.clone(), config.peers_all);
     actix_rt::spawn(Peers { socket, peers, all, log: log.clone(), queue: queue.clone() }.run(tells));
 
     let ready = Rc::new(Cell::new(false));
@@ -91,10 +94,13 @@
     let accepting = actix_rt::spawn(Rc::clone(&front).accept(listener, budget));
     info!(log, "serving"; "listen" => listen);
 
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = interrupt.recv() => {}
-        _ = &mut driving => return Err(DRIVERLESS.to_string()),
+    loop {
+        tokio::select! {
+            _ = term.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hang_up.recv() => reload(&mut config, &to_new_address, &log),
+            _ = &mut driving => return Err(DRIVERLESS.to_string()),
+        }
     }
     info!(log, "ending");
     tokio::time::sleep(STILL_OPEN).await;
@@ -104,3 +110,24 @@
         _ = &mut driving => Err(DRIVERLESS.to_string()),
     }
 }
+
+/// Reads the file again on SIGHUP. A bad one changes nothing: guards the requests in hand against a slip of the
+/// pen. Only discovery's address takes effect at once; all else waits for a restart, and the log says so.
+fn reload(config: &mut Config, discovery: &mpsc::UnboundedSender<Ask>, log: &Logger) {
+    match Config::read_again(|name| std::env::var(name).ok()) {
+        Ok(new) => {
+            let waits = config.need_restart(&new).join(", ");
+            if !waits.is_empty() {
+                warn!(log, "changed values need a restart"; "which" => waits);
+            }
+            if new.discovery != config.discovery {
+                let _ = discovery.send(Ask::Move(new.discovery));
+                config.discovery = new.discovery;
+            }
+            info!(log, "configuration read again"; "discovery" => config.discovery);
+        }
+        Err(problem) => {
+            warn!(log, "configuration not taken, the old one stays"; "why" => problem.replace('\n', " "));
+        }
+    }
+}
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,7 +1,7 @@
 //! What the program is told: the environment's `GW_*` and the JSON file they name. Settings are flattened to
 //! the simulator's `path=value` form and read by its parser, so that both programs agree on them.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use ironmast::wire::Setup;
@@ -30,8 +30,13 @@
     pub known: Option<Value>,
     /// The settings.
     pub setup: Setup,
+    /// All that the file says of values that hold until a restart, flattened.
+    written: BTreeMap<String, String>,
 }
 
+/// What the file may change without a restart, or what says nothing after the start.
+const NO_RESTART: [&str; 3] = ["discovery", "known", "seed"];
+
 /// The file as it is written.
 #[derive(Deserialize)]
 struct File {
@@ -59,7 +64,13 @@
     pub fn read(env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
         let path = env("GW_CONFIG").ok_or("GW_CONFIG is not set")?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
-        let file: File = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
+        let mut all: Value = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
+        let file = File::deserialize(&all).map_err(|e| format!("{path}: {e}"))?;
+        let mut written = BTreeMap::new();
+        if let Some(all) = all.as_object_mut() {
+            all.retain(|key, _| !NO_RESTART.contains(&key.as_str()));
+        }
+        flatten("", &all, &mut written);
         let told = |name: &str, written: Option<String>| {
             env(name).or(written).ok_or_else(|| format!("{name} is not set and {path} does not tell it"))
         };
@@ -81,8 +92,26 @@
             peers_all: file.peers_all,
             known: file.known,
             setup: Setup::read(&pairs).map_err(|e| format!("{path}: settings: {e}"))?,
+            written,
         })
     }
+
+    /// Reads the file again. What it says of discovery prevails over the environment now: the variable is as
+    /// old as the process, and would keep it at an address that has closed.
+    pub fn read_again(env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
+        let config = Config::read(&env);
+        if let Ok(moved) = Config::read(|name| env(name).filter(|_| name != "GW_DISCOVERY")) {
+            return Ok(moved);
+        }
+        config
+    }
+
+    /// The values that differ in `new` and hold only after a restart.
+    pub fn need_restart(&self, new: &Config) -> Vec<String> {
+        let both: BTreeSet<&String> = self.written.keys().chain(new.written.keys()).collect();
+        let differ = both.into_iter().filter(|key| self.written.get(*key) != new.written.get(*key));
+        differ.cloned().collect()
+    }
 }
 
 /// Writes nested JSON as the wire's pairs: lists of objects with a count, plain ones joined with commas.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -131,6 +131,11 @@
             match ask {
                 Some(Ask::Watch(on)) => watching = on,
                 Some(Ask::All) => self.fetch().await,
+                Some(Ask::Move(address)) => {
+                    // The old address ends its watches soon. The new one is called at once, asked or not, and
+                    // for the whole list: guards against versions that count differently there.
+                    (self.address, self.rev, watching) = (address, None, true);
+                }
                 None => return,
             }
         }
--- a/src/net/message.rs
+++ b/src/net/message.rs
@@ -140,6 +140,8 @@
     Watch(bool),
     /// Fetch the whole list once.
     All,
+    /// Discovery listens there now.
+    Move(SocketAddr),
 }
 
 /// To the peers: one of them, or all.
--- a/tests/common/proxy.rs
+++ b/tests/common/proxy.rs
@@ -4,7 +4,8 @@
 //! the text (`\r`, `\n` escaped), `<` reads one message, `close` closes, `eof` waits until the program closes,
 //! `refuse` stops listening.
 //! `discovery list true|false UID.ZONE.STATE ...` is a line of the watch. `proxy log TEXT` waits for a line of
-//! the log, `proxy term` sends SIGTERM, `proxy exit` waits for the end;
+//! the log, `proxy term` sends SIGTERM, `proxy exit` waits for the end; `proxy reload TEXT` replaces the
+//! configuration (by one that names that party as discovery, or by the text itself) and sends SIGHUP;
 //! `proxy sockets N` starts it with that many descriptors. Nothing sleeps: all wait for bytes.
 
 use std::collections::BTreeMap;
@@ -13,11 +14,14 @@
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::time::Duration;
 
+use tempfile::NamedTempFile;
+
 /// What never comes fails the test after this.
 const PATIENCE: Duration = Duration::from_secs(20);
 
 pub struct Proxy {
     child: Child,
+    config: NamedTempFile,
     log: BufReader<ChildStderr>,
     listen: String,
     listeners: BTreeMap<String, TcpListener>,
@@ -33,9 +37,9 @@
     }
 }
 
-/// Runs the program with a configuration file of that text.
-pub fn start(config: &str) -> Child {
-    let file = tempfile::NamedTempFile::new().expect("a file");
+/// Runs the program with a configuration file of that text, for as long as it is needed.
+pub fn start(config: &str) -> (Child, NamedTempFile) {
+    let file = NamedTempFile::new().expect("a file");
     std::fs::write(file.path(), config).expect("written");
     let mut command = Command::new(env!("CARGO_BIN_EXE_ironmast"));
     command.env("GW_CONFIG", file.path()).stderr(Stdio::piped());
@@ -47,22 +51,24 @@
     let fd = child.stderr.as_mut().expect("piped");
     let mut first = [0];
     fd.read_exact(&mut first).expect("a first line");
-    child
+    (child, file)
+}
+
+fn config(discovery: &str) -> String {
+    include_str!("../exchanges/config.json").replace("{discovery}", discovery)
 }
 
 pub fn play(script: &str) -> String {
-    let names = ["discovery", "server1", "server2"];
+    let names = ["discovery", "discovery2", "server1", "server2"];
     let bind = |name: &str| (name.to_string(), TcpListener::bind("127.0.0.1:0").expect("a port"));
     let listeners: BTreeMap<String, TcpListener> = names.map(bind).into();
     let discovery = listeners["discovery"].local_addr().expect("bound").to_string();
     let sockets = script.lines().find_map(|line| line.strip_prefix("proxy sockets ")).unwrap_or("1024");
-    let config = include_str!("../exchanges/config.json")
-        .replace("{discovery}", &discovery)
-        .replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
-    let mut child = start(&config);
+    let config = config(&discovery).replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
+    let (mut child, config) = start(&config);
     let log = BufReader::new(child.stderr.take().expect("piped"));
     let (listen, open, said) = Default::default();
-    let mut proxy = Proxy { child, log, listen, listeners, open, said, rev: 0 };
+    let mut proxy = Proxy { child, config, log, listen, listeners, open, said, rev: 0 };
     let serving = proxy.wait_log("listen: ");
     let address = |text: &str| text.split(|c: char| !"0123456789.:".contains(c)).next().map(str::to_string);
     proxy.listen = serving.split_once("listen: ").and_then(|(_, rest)| address(rest)).expect("an address");
@@ -80,9 +86,14 @@
         match (party, verb) {
             ("proxy", "sockets") => {}
             ("proxy", "log") => drop(self.wait_log(text)),
-            ("proxy", "term") => {
-                let id = self.child.id().to_string();
-                assert!(Command::new("kill").args(["-TERM", &id]).status().expect("kill runs").success());
+            ("proxy", "term") => self.signal("-TERM"),
+            ("proxy", "reload") => {
+                let text = match self.listeners.get(text) {
+                    Some(l) => config(&l.local_addr().expect("bound").to_string()),
+                    None => text.to_string(),
+                };
+                std::fs::write(self.config.path(), text).expect("written");
+                self.signal("-HUP");
             }
             ("proxy", "exit") => {
                 let status = self.child.wait().expect("it ends");
@@ -113,6 +124,11 @@
         }
     }
 
+    fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+    }
+
     /// The party's connection; a client opens it, the others wait for the program to.
     fn stream(&mut self, party: &str) -> &mut BufReader<TcpStream> {
         self.open.entry(party.to_string()).or_insert_with(|| {
--- a/tests/exchanges.rs
+++ b/tests/exchanges.rs
@@ -18,7 +18,7 @@
 
 exchanges! {
     served bad_requests refused_connect resets broken_answer idle_closed cancelled drained ending turned_away
-    watch_fails scarce
+    watch_fails scarce reload
 }
 
 #[test]
@@ -32,7 +32,7 @@
         ("\"objective\":400000", "\"objective\":\"soon\"", "classes.0.objective"),
     ] {
         let Output { status, stderr, .. } =
-            start(&sound.replacen(from, to, 1)).wait_with_output().expect("an end");
+            start(&sound.replacen(from, to, 1)).0.wait_with_output().expect("an end");
         let text = String::from_utf8_lossy(&stderr);
         assert_eq!(status.code(), Some(1), "{text}");
         assert!(text.lines().count() == 1 && (told == "config" || text.contains(told)), "{text}");
