Set nobody aside for one reset, and let a probe bring back who is set aside

Checked: raw bytes from the pay servers (a probe in the stream's read) show one spoilt answer before each ejection. Lines at fault, balance.rs: `note` gave a Reset a pace of 0.5, which is EJECT_AT in one step, and "plain" failures may empty a zone; `candidates` allowed a trial only of a `free` class. No class here is free, so "aside" was for good.

Now a reset is as soft as an error (three in a row, standing out from its peers), a refused connection takes two, and `beat` probes who has rested; an answered probe brings it back, a failed one doubles the rest. No request is spent. Tests: `one_broken_answer_sets_nobody_aside`, `who_is_set_aside_comes_back_by_a_probe...`; both fail without it.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -123,7 +123,8 @@
             Event::HungUp { id } => self.close(id, out),
             Event::Timer { token } if self.armed == Some(token) => self.armed = None,
             Event::Members(listing) => self.members(listing, out),
-            Event::Timer { .. } | Event::Probed { .. } | Event::Peer { .. } => {}
+            Event::Probed { server, outcome, .. } => self.probed(server, outcome),
+            Event::Timer { .. } | Event::Peer { .. } => {}
         }
         self.run_due(out);
     }
@@ -296,8 +297,9 @@
         // "Full" is load, not ill health; a cancelled or moot attempt is our own doing.
         let (failed, pace) = match e.outcome {
             Outcome::Ok => (0.0, 0.25),
-            Outcome::Error | Outcome::Timeout => (1.0, 0.25),
-            Outcome::ConnectFailed | Outcome::Reset => (1.0, 0.5),
+            // Guards good servers against one answer spoilt or broken off: a dead one refuses connections next.
+            Outcome::Error | Outcome::Timeout | Outcome::Reset => (1.0, 0.25),
+            Outcome::ConnectFailed => (1.0, 0.45),
             Outcome::Full | Outcome::Cancelled | Outcome::Moot => (0.0, 0.0),
         };
         node.failing += pace * (failed - node.failing);
@@ -348,9 +350,22 @@
         }
     }
 
+    /// A server set aside answered its trial probe, or did not: it is back in use, or rests for longer.
+    fn probed(&mut self, server: ServerId, outcome: Outcome) {
+        let Some(node) = self.nodes.get_mut(&server) else { return };
+        let Some((since, _)) = node.aside else { return };
+        if outcome == Outcome::Ok {
+            (node.aside, node.failing) = (None, 0.0);
+        } else {
+            node.backoff = (node.backoff * 2).clamp(ASIDE.0, ASIDE.1);
+            node.aside = Some((since, self.now + node.backoff));
+        }
+    }
+
     /// Lets measurements fade and cold servers have their due.
     fn beat(&mut self, out: &mut Vec<Action>) {
         let kept = |memory: f64| 1.0 - self.beat as f64 / memory;
+        let probes = self.settings.limits.probes;
         self.arrivals *= kept(RATE_MEMORY);
         for node in self.nodes.values_mut() {
             (node.lag, node.oks) = (node.lag * kept(LAG_MEMORY), node.oks * kept(RATE_MEMORY));
@@ -359,6 +374,13 @@
                 node.idle_since = None;
                 out.push(Action::CloseIdle { server: node.server.id });
             }
+            // Guards against servers set aside for good where no class may be repeated at will: a probe is the
+            // trial, and costs no request.
+            let ready = probes && node.server.phase == Phase::Ready;
+            if let Some((_, until)) = node.aside.as_mut().filter(|(_, until)| ready && *until <= self.now) {
+                *until = self.now + node.backoff;
+                out.push(Action::Probe { server: node.server.id });
+            }
         }
         self.refill_cold();
     }
@@ -370,6 +392,7 @@
     /// has waited as long as crossing zones is worth; then the zone test passes over them (spillover).
     fn candidates(&self, open: &Open) -> Vec<ServerId> {
         let free = self.settings.classes[open.request.class].effect == Effect::Free;
+        let free = free && !self.settings.limits.probes;
         // Guards against many agents that each send a server one request at a time and bury it together.
         let zones = [false, true].map(|own| {
             let (out, limit) = self.zone_load(own);
@@ -378,7 +401,8 @@
         let room = |n: &&Node| zones[usize::from(n.server.zone == self.settings.zone)] && self.room(n);
         for (health, again) in [(true, false), (false, false), (false, true)] {
             let fit = |own: bool| {
-                // Who is set aside gets a trial, of what may repeat, once it and its zone have rested.
+                // Who is set aside gets a trial, of what may repeat, once it and its zone have rested; where
+                // probes are allowed, `beat` makes it.
                 let trial = free && self.rest[usize::from(own)] <= self.now;
                 let fits = |n: &&Node| {
                     n.server.phase == Phase::Ready
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -233,6 +233,46 @@
     assert!(back >= 250, "back after a trial: {back}");
 }
 
+#[test]
+fn one_broken_answer_sets_nobody_aside() {
+    let mut d = ready(vec![class(Effect::SingleShot)]);
+    (1_000..1_060).for_each(|n| _ = d.serve(n, 0, 10 * MS));
+    for n in 0..3 {
+        d.request(n, 0);
+        d.settle(n, 0, Outcome::Reset);
+    }
+    let hit: BTreeSet<_> = (0..3).map(|n| d.last_server(n)).collect();
+    let after: BTreeSet<_> = (10..40).map(|n| d.serve(n, 0, 10 * MS)).collect();
+    assert!(hit.len() == 3 && hit == after, "all three go on: {after:?}");
+}
+
+#[test]
+fn who_is_set_aside_comes_back_by_a_probe_though_nothing_may_be_repeated() {
+    let mut s = settings(vec![class(Effect::SingleShot)]);
+    s.limits.probes = true;
+    let mut d = Driver::new(s);
+    d.list(Scope::Complete, fleet());
+    (1_000..1_060).for_each(|n| _ = d.serve(n, 0, 10 * MS));
+    let probes = |d: &Driver| d.actions.iter().filter(|a| **a == Action::Probe { server: id(1) }).count();
+    for n in 0..30 {
+        d.request(n, 0);
+        let refuses = d.last_server(n) == id(1);
+        d.settle(n, 0, if refuses { Outcome::ConnectFailed } else { Outcome::Ok });
+        let tries = d.attempts(n) as u32;
+        (1..tries).for_each(|attempt| d.settle(n, attempt, Outcome::Ok));
+    }
+    assert!((100..130).all(|n| d.serve(n, 0, MS) != id(1)), "it is aside");
+    let answer = |d: &mut Driver, outcome| {
+        let before = probes(d);
+        d.pass(9 * SECOND);
+        assert!(probes(d) > before, "a probe is its trial");
+        d.event(Event::Probed { server: id(1), outcome, latency: MS, load: None });
+        (0..30).any(|n| d.serve(d.now + n, 0, MS) == id(1))
+    };
+    assert!(!answer(&mut d, Outcome::ConnectFailed), "a failed probe keeps it aside");
+    assert!(answer(&mut d, Outcome::Ok), "a good one brings it back");
+}
+
 #[test]
 fn failures_of_the_whole_zone_alike_do_not_empty_it() {
     // Guards against overload: time-outs everywhere are load, and the other zone would go down next.
