Let only whole, well-framed answers of pay servers through to awc

Raw bytes show: noise, `HTTP/1.1 OK 200`, `2x0`, `ICY`, two lengths, a chunk of size `zz`, endless heads, 3 GB, 103 and 102 in front, second copies behind. Checked in awc's sources: `send_request` takes the first head for the final one; the framed read buffer is dropped with the bytes behind an answer and the connection goes back to the pool; the pool looks only at what arrives later. Ruled out: a client of our own; awc stays, its stream now holds back what arrives until one whole answer is there. Lines at fault: `exchange` and `client` in upstream.rs; `note` in balance.rs (a spoilt answer or a 4xx counted as pain: limits of 5 fell to 0.5, and a request the server rejects went to three servers).

Outcomes of their own: `Spoilt` (may have run, softer than an error) and `Rejected` (4xx: no health, no second try). An answer begun and not whole within 100 ms is spoilt.

--- a/src/api.rs
+++ b/src/api.rs
@@ -333,6 +333,10 @@
     ConnectFailed,
     /// The connection broke; may have run.
     Reset,
+    /// An answer came that can't be read or is not whole; may have run. The server is up.
+    Spoilt,
+    /// The server finds fault with the request itself (4xx); nobody else would take it.
+    Rejected,
     /// Cancelled; may have run.
     Cancelled,
     /// Never sent: the request was over, out of time or out of attempts.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -290,7 +290,9 @@
         node.idle_since = Some(now);
         // Guards against slow servers that never show: who called off beyond the usual had waited too long.
         let overdue = class.zip(sent).is_some_and(|(c, at)| (now - at) as f64 > self.usual[c].high);
-        let told = !matches!(e.outcome, Outcome::Cancelled | Outcome::Moot);
+        // Guards good servers' shares and limits: what is no answer, or our doing, tells nothing of load.
+        let told = matches!(e.outcome, Outcome::Ok | Outcome::Error | Outcome::Full)
+            || matches!(e.outcome, Outcome::Timeout | Outcome::ConnectFailed);
         if told || overdue {
             node.lag += LAG_PACE * (f64::from(u8::from(overdue || e.outcome != Outcome::Ok)) - node.lag);
         }
@@ -300,7 +302,8 @@
             // Guards good servers against one answer spoilt or broken off: a dead one refuses connections next.
             Outcome::Error | Outcome::Timeout | Outcome::Reset => (1.0, 0.25),
             Outcome::ConnectFailed => (1.0, 0.45),
-            Outcome::Full | Outcome::Cancelled | Outcome::Moot => (0.0, 0.0),
+            Outcome::Spoilt => (1.0, 0.1),
+            Outcome::Full | Outcome::Cancelled | Outcome::Moot | Outcome::Rejected => (0.0, 0.0),
         };
         node.failing += pace * (failed - node.failing);
         if e.outcome == Outcome::Ok {
@@ -575,7 +578,8 @@
         let somewhere = self.nodes.values().any(|n| self.allowed(open, n));
         // Free only where the server is likely gone: guards against storms of retries among full servers.
         let price = if outcome == Outcome::ConnectFailed { 0.0 } else { 1.0 };
-        if !in_time || !somewhere || !open.tries_left(&self.settings.limits) || self.budget < price {
+        let hopeless = !in_time || !somewhere || outcome == Outcome::Rejected;
+        if hopeless || !open.tries_left(&self.settings.limits) || self.budget < price {
             return self.end(id, out);
         }
         self.budget -= price;
--- a/src/main.rs
+++ b/src/main.rs
@@ -72,7 +72,7 @@
     let connect = Duration::from_micros(setup.connect_timeout);
     let keepalive = Duration::from_micros(setup.keepalive);
 
-    let client = upstream::client(budget.clone(), connect, keepalive / 2);
+    let client = upstream::client(budget.clone(), connect, keepalive / 2, |stream| stream);
     let zones = setup.zones.clone();
     let mut discovery = Discovery::new(config.discovery, client, zones, log.clone(), queue.clone());
     discovery.recall(config.known.as_ref());
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -1,6 +1,8 @@
 //! Attempts at pay servers. One awc client for each holds its idle connections: dropping it closes them. An
 //! attempt is cancelled by dropping its future, connection and all; only then is its end told.
 
+mod framing;
+
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::io;
@@ -9,8 +11,8 @@
 use std::time::Duration;
 
 use actix_http::StatusCode;
-use actix_http::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, TRANSFER_ENCODING};
-use actix_rt::net::TcpStream;
+use actix_http::header::{HeaderMap, HeaderValue};
+use actix_rt::net::{ActixStream, TcpStream};
 use actix_service::fn_service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
 use awc::http::Uri;
@@ -19,8 +21,9 @@
 use ironmast::wire::LoadNames;
 use ironmast::{LoadReport, Micros, Outcome, RequestId, ServerId};
 use slog::{Logger, warn};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 
+use self::framing::Checked;
 use super::clock::Clock;
 use super::message::{Attempt, Ended, Message, Order, Queue};
 use super::sockets::{Budget, Tap, Tapped};
@@ -29,6 +32,8 @@
 pub const BODY_MOST: usize = 64 * 1024;
 /// Pay servers are told this much less than the time left: their answer still has to travel.
 const MARGIN: Micros = 2_000;
+/// An answer that has begun is whole within this: guards against lengths longer than what comes.
+const REST: Duration = Duration::from_millis(100);
 /// A probe is given up after this.
 const PROBE: Duration = Duration::from_millis(250);
 
@@ -41,8 +46,9 @@
 #[derive(Default)]
 struct Writing {
     bytes: Cell<usize>,
-    /// The server's side has closed since the last write.
-    ended: Cell<bool>,
+    /// An answer has begun to arrive, and what came is none.
+    begun: Notify,
+    spoilt: Cell<bool>,
     server: Option<ServerId>,
     retired: Retired,
 }
@@ -54,7 +60,8 @@
 
 /// Tells the attempt at hand of its writes. A connection serves one attempt after another, and each is polled
 /// in a task of its own, so the task knows whose bytes these are.
-struct Meter;
+#[derive(Debug)]
+pub struct Meter;
 
 impl Tap for Meter {
     fn may_write(&self) -> io::Result<()> {
@@ -69,21 +76,18 @@
     }
 
     fn wrote(&self, bytes: usize) {
-        let _ = WRITING.try_with(|w| {
-            w.bytes.set(w.bytes.get() + bytes);
-            // What ended before was a dead idle connection, looked at and put away.
-            w.ended.set(false);
-        });
-    }
-
-    fn ended(&self) {
-        let _ = WRITING.try_with(|w| w.ended.set(true));
+        let _ = WRITING.try_with(|w| w.bytes.set(w.bytes.get() + bytes));
     }
 }
 
 /// An HTTP client without a will of its own: no time-out, redirect, extra header or cap; a connection must
-/// come up within `connect` and is not used again after `idle`.
-pub fn client(budget: Budget, connect: Duration, idle: Duration) -> Client {
+/// come up within `connect` and is not used again after `idle`. `wrap` decides what its streams let through.
+pub fn client<Io: ActixStream + std::fmt::Debug + 'static>(
+    budget: Budget,
+    connect: Duration,
+    idle: Duration,
+    wrap: fn(Tapped<Meter>) -> Io,
+) -> Client {
     let dial = move |info: ConnectInfo<Uri>| {
         let budget = budget.clone();
         async move {
@@ -93,7 +97,7 @@
             let address = address.ok_or_else(|| refused("not an address"))?;
             let slot = budget.take().ok_or_else(|| refused("no descriptor is free"))?;
             let stream = TcpStream::connect(address).await.map_err(ConnectError::Io)?;
-            Ok::<_, ConnectError>(Connection::new(uri, Tapped::new(stream, Meter, slot)))
+            Ok::<_, ConnectError>(Connection::new(uri, wrap(Tapped::new(stream, Meter, slot))))
         }
     };
     // The pool is for one server; its age limit would close good connections.
@@ -169,7 +173,7 @@
         if clients.get(&server).is_none_or(|c| c.0 != address) {
             // Retired well before the server closes it: guards against a write that crosses that close.
             let idle = self.rules.keepalive / 2;
-            let client = client(self.budget.clone(), self.rules.connect, idle);
+            let client = client(self.budget.clone(), self.rules.connect, idle, Checked::new);
             clients.insert(server, (address, client));
         }
         clients[&server].1.clone()
@@ -195,10 +199,17 @@
             let (outcome, body, load) = tokio::select! {
                 biased;
                 ended = call => ended.unwrap_or_else(|()| {
-                    // Nothing written proves that it never ran; a part might be the whole.
-                    let never = writing.bytes.get() == 0;
-                    (if never { Outcome::ConnectFailed } else { Outcome::Reset }, Bytes::new(), None)
+                    let outcome = match writing.bytes.get() {
+                        // Nothing written proves that it never ran; a part might be the whole.
+                        0 => Outcome::ConnectFailed,
+                        _ if writing.spoilt.get() => Outcome::Spoilt,
+                        _ => Outcome::Reset,
+                    };
+                    (outcome, Bytes::new(), None)
                 }),
+                () = async { writing.begun.notified().await; tokio::time::sleep(REST).await } => {
+                    (Outcome::Spoilt, Bytes::new(), None)
+                }
                 _ = cancelled => (Outcome::Cancelled, Bytes::new(), None),
                 () = tokio::time::sleep_until(until) => (Outcome::Timeout, Bytes::new(), None),
             };
@@ -248,16 +259,11 @@
     let mut answer = sending.await.map_err(|_| ())?;
     let (status, load) = (answer.status(), load(answer.headers(), names));
     let turned = answer.headers().get("X-Turned-Away").is_some_and(|v| v.as_bytes() == b"1");
-    let framed =
-        answer.headers().contains_key(CONTENT_LENGTH) || answer.headers().contains_key(TRANSFER_ENCODING);
-    let body = answer.body().limit(2 * BODY_MOST).await.map_err(|_| ())?;
-    // Guards against answers cut short: awc takes the end of the connection for the end of any body.
-    if framed && WRITING.with(|w| w.ended.get()) {
-        return Err(());
-    }
+    let body = answer.body().limit(BODY_MOST).await.map_err(|_| ())?;
     let outcome = match status {
         StatusCode::OK => Outcome::Ok,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned => Outcome::Full,
+        status if status.is_client_error() => Outcome::Rejected,
         _ => Outcome::Error,
     };
     Ok((outcome, body, load))
--- a/tests/common/proxy.rs
+++ b/tests/common/proxy.rs
@@ -12,6 +12,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::process::{Child, ChildStderr, Command, Stdio};
+use std::sync::mpsc::channel;
 use std::time::Duration;
 
 use tempfile::NamedTempFile;
@@ -133,7 +134,12 @@
     fn stream(&mut self, party: &str) -> &mut BufReader<TcpStream> {
         self.open.entry(party.to_string()).or_insert_with(|| {
             let stream = match self.listeners.get(party) {
-                Some(listener) => listener.accept().expect("a connection").0,
+                Some(listener) => {
+                    // Guards against a test that waits for good: `accept` itself has no time-out.
+                    let (listener, (done, accepted)) = (listener.try_clone().expect("a handle"), channel());
+                    std::thread::spawn(move || done.send(listener.accept()));
+                    accepted.recv_timeout(PATIENCE).expect("in time").expect("a connection").0
+                }
                 None => TcpStream::connect(&self.listen).expect("it listens"),
             };
             stream.set_read_timeout(Some(PATIENCE)).expect("set");
