Give clients 2.4 s for a whole request, one open X-Txn at a time and a share of descriptors

Ruled out by actix-http's decoder: both lengths at once, two or negative lengths and a missing Host are answered 400 and closed there already; the exchange covers it. Lines at fault: `serve` in listener.rs (no time-out), `check` (kept connections after errors), `ask` (ids not compared), sockets.rs (one budget; when scarce, all idle connections to pay servers dropped at once).

--- a/src/main.rs
+++ b/src/main.rs
@@ -63,7 +63,8 @@
         None => None,
     };
 
-    let (clock, budget) = (Clock::start(), Budget::new(config.sockets));
+    let clock = Clock::start();
+    let (client_share, server_share) = Budget::shares(config.sockets);
     let (queue, messages) = Queue::new();
     let (to_upstream, upstream_orders) = mpsc::unbounded_channel();
     let (to_discovery, asks) = mpsc::unbounded_channel();
@@ -72,14 +73,14 @@
     let connect = Duration::from_micros(setup.connect_timeout);
     let keepalive = Duration::from_micros(setup.keepalive);
 
-    let client = upstream::client(budget.clone(), connect, keepalive / 2, |stream| stream);
+    let client = upstream::client(server_share.clone(), connect, keepalive / 2, |stream| stream);
     let zones = setup.zones.clone();
     let mut discovery = Discovery::new(config.discovery, client, zones, log.clone(), queue.clone());
     discovery.recall(config.known.as_ref());
     actix_rt::spawn(discovery.run(asks));
 
     let rules = upstream::Rules { connect, keepalive, load: setup.load.clone() };
-    let upstream = Upstream::new(rules, clock, log.clone(), budget.clone(), queue.clone());
+    let upstream = Upstream::new(rules, clock, log.clone(), server_share, queue.clone());
     actix_rt::spawn(upstream.run(upstream_orders));
     let (peers, all) = (config.peers.clone(), config.peers_all);
     actix_rt::spawn(Peers { socket, peers, all, log: log.clone(), queue: queue.clone() }.run(tells));
@@ -91,7 +92,7 @@
     let mut driving = actix_rt::spawn(driver.run(messages, move || held.set(true)));
 
     let front = Front::new(setup, clock, queue, log.clone(), ready);
-    let accepting = actix_rt::spawn(Rc::clone(&front).accept(listener, budget));
+    let accepting = actix_rt::spawn(Rc::clone(&front).accept(listener, client_share));
     info!(log, "serving"; "listen" => listen);
 
     loop {
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -2,7 +2,7 @@
 //! and answered when the driver says so.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -31,6 +31,10 @@
 /// After an accept that failed, the next waits this long.
 const PAUSE: Duration = Duration::from_millis(20);
 
+/// A connection without a whole request is closed after this: half a request is owed an end within 3 s, and one
+/// that has been answered may stay for 2 s at least.
+const PATIENCE: Micros = 2_400_000;
+
 /// What the listener shares with its connections.
 pub struct Front {
     /// The settings' names and classes.
@@ -46,20 +50,32 @@
     /// The program is about to end: answers close their connections.
     closing: Cell<bool>,
     doors: RefCell<BTreeMap<u64, Rc<Door>>>,
+    /// The requests that wait for an answer, by the client's name for them.
+    open: RefCell<BTreeSet<Vec<u8>>>,
     empty: Notify,
 }
 
 /// What is known of one client connection.
 struct Door {
-    /// Requests begun on it and not answered.
-    busy: Cell<bool>,
+    /// A whole request of it waits for its answer.
+    asked: Cell<bool>,
     left: Cell<bool>,
-    used: Cell<Micros>,
+    /// It has been answered before; bytes have come since.
+    answered: Cell<bool>,
+    begun: Cell<bool>,
+    /// When it came, was last answered, or began its next request.
+    since: Cell<Micros>,
     close: Notify,
     clock: Clock,
 }
 
 impl Tap for Rc<Door> {
+    fn got(&self) {
+        if !self.begun.replace(true) && self.answered.get() {
+            self.since.set(self.clock.now());
+        }
+    }
+
     fn ended(&self) {
         self.left.set(true);
         self.close.notify_one();
@@ -69,14 +85,16 @@
 impl Front {
     /// A listener's shared part.
     pub fn new(setup: Setup, clock: Clock, queue: Queue, log: Logger, ready: Rc<Cell<bool>>) -> Rc<Self> {
-        let (closing, doors, empty) = Default::default();
-        Rc::new(Front { setup, clock, queue, log, ready, closing, doors, empty })
+        let (closing, doors, open, empty) = Default::default();
+        Rc::new(Front { setup, clock, queue, log, ready, closing, doors, open, empty })
     }
 
-    /// Closes the connection that has been idle longest, if there is one.
+    /// Closes a connection that waits for no answer, if there is one: of those that never asked anything the
+    /// oldest, else the longest idle. Guards the usual clients against hundreds of silent ones.
     fn close_oldest(&self) {
         let doors = self.doors.borrow();
-        if let Some(door) = doors.values().filter(|d| !d.busy.get()).min_by_key(|d| d.used.get()) {
+        let idle = doors.values().filter(|d| !d.asked.get());
+        if let Some(door) = idle.min_by_key(|d| (d.answered.get(), d.since.get())) {
             door.close.notify_one();
         }
     }
@@ -99,13 +117,9 @@
             match listener.accept().await {
                 Ok((stream, _)) => {
                     number += 1;
-                    let door = Rc::new(Door {
-                        busy: Cell::default(),
-                        left: Cell::default(),
-                        used: Cell::new(self.clock.now()),
-                        close: Notify::new(),
-                        clock: self.clock,
-                    });
+                    let (asked, left, answered, begun, close) = Default::default();
+                    let (since, clock) = (Cell::new(self.clock.now()), self.clock);
+                    let door = Rc::new(Door { asked, left, answered, begun, since, close, clock });
                     self.doors.borrow_mut().insert(number, Rc::clone(&door));
                     let stream = Tapped::new(stream, Rc::clone(&door), slot);
                     actix_rt::spawn(Rc::clone(&self).serve(number, door, stream));
@@ -138,12 +152,18 @@
             let connection = service.call((stream, None));
             tokio::pin!(connection);
             loop {
+                let late = || door.since.get() + PATIENCE;
+                let look = if door.asked.get() { self.clock.now() + PATIENCE } else { late() };
                 tokio::select! {
                     biased;
                     _ = &mut connection => break,
+                    // Guards against endless heads and bodies, and against clients that say nothing.
+                    () = tokio::time::sleep_until(self.clock.at(look).into()) => {
+                        if !door.asked.get() && self.clock.now() >= late() { break }
+                    }
                     // actix-http does not drop a handler whose client has left: this does, and the drop of its
                     // `Waiting` tells the driver. Idle connections are closed here too.
-                    () = door.close.notified() => if door.left.get() || !door.busy.get() { break },
+                    () = door.close.notified() => if door.left.get() || !door.asked.get() { break },
                 }
             }
         }
@@ -164,15 +184,30 @@
 
     async fn handle(&self, mut request: Request) -> Response<BoxBody> {
         let arrived = self.clock.now();
-        let door = request.conn_data::<Rc<Door>>().map(Rc::clone);
-        let _busy = door.map(Busy::new);
+        let Some(door) = request.conn_data::<Rc<Door>>().map(Rc::clone) else {
+            return Response::with_body(StatusCode::INTERNAL_SERVER_ERROR, "no connection\n")
+                .map_into_boxed_body();
+        };
         let mut response = match self.check(&mut request, arrived).await {
-            Ok((class, arrival)) => self.ask(class, arrival).await,
-            Err(response) => response,
+            Ok((class, arrival)) => {
+                let _asked = Asked::new(&door);
+                self.ask(class, arrival).await
+            }
+            Err(mut response) => {
+                // Guards against bodies not read, which would be taken for the next request, and against
+                // clients that send the same again at full speed.
+                if response.status().is_client_error() {
+                    response.head_mut().set_connection_type(ConnectionType::Close);
+                }
+                response
+            }
         };
         if self.closing.get() {
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
+        door.answered.set(true);
+        door.begun.set(false);
+        door.since.set(self.clock.now());
         response
     }
 
@@ -241,11 +276,18 @@
     /// Hands a request to the driver and waits for its answer.
     async fn ask(&self, class: usize, checked: Checked) -> Response<BoxBody> {
         let Checked { tenant, subject, client_retry, expires, payload } = checked;
+        // Guards pay servers against a request sent under the name of one that is open.
+        let txn = payload.txn.clone();
+        if !self.open.borrow_mut().insert(txn.clone()) {
+            let mut response = Response::with_body(StatusCode::CONFLICT, "a request of that X-Txn is open\n");
+            response.head_mut().set_connection_type(ConnectionType::Close);
+            return response.map_into_boxed_body();
+        }
         let (reply, answer) = oneshot::channel();
         let ticket = self.queue.ticket();
         let arrival = Arrival { ticket, class, tenant, subject, client_retry, expires, payload, reply };
         self.queue.say(Message::Arrived(arrival));
-        let mut waiting = Waiting { ticket, queue: &self.queue, answered: false };
+        let mut waiting = Waiting { ticket, txn, front: self, answered: false };
         let answer = answer.await;
         waiting.answered = true;
         match answer {
@@ -277,33 +319,34 @@
 }
 
 /// Keeps a connection from counting as idle.
-struct Busy(Rc<Door>);
+struct Asked<'a>(&'a Door);
 
-impl Busy {
-    fn new(door: Rc<Door>) -> Self {
-        door.busy.set(true);
-        Busy(door)
+impl<'a> Asked<'a> {
+    fn new(door: &'a Door) -> Self {
+        door.asked.set(true);
+        Asked(door)
     }
 }
 
-impl Drop for Busy {
+impl Drop for Asked<'_> {
     fn drop(&mut self) {
-        self.0.busy.set(false);
-        self.0.used.set(self.0.clock.now());
+        self.0.asked.set(false);
     }
 }
 
 /// A request at the driver: dropped unanswered, its client has left.
 struct Waiting<'a> {
     ticket: Ticket,
-    queue: &'a Queue,
+    txn: Vec<u8>,
+    front: &'a Front,
     answered: bool,
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
+        self.front.open.borrow_mut().remove(&self.txn);
         if !self.answered {
-            self.queue.say(Message::Left(self.ticket));
+            self.front.queue.say(Message::Left(self.ticket));
         }
     }
 }
--- a/src/net/sockets.rs
+++ b/src/net/sockets.rs
@@ -12,25 +12,35 @@
 
 /// Descriptors that are not connections: standard streams, poller, listeners, watch and the like.
 const APART: usize = 32;
-/// Below this many free ones idle connections are closed.
-const SCARCE: usize = 64;
+/// Of all connections, in percent, those of clients; the rest is for pay servers.
+const CLIENTS: usize = 60;
+/// Below this part of a share free, idle connections are closed.
+const SCARCE: usize = 8;
 
 /// Closes idle connections.
 type Trim = Box<dyn Fn()>;
 
-/// Counts the connections of the whole program.
+/// Counts the connections of one share.
 #[derive(Clone)]
 pub struct Budget {
     left: Rc<Cell<usize>>,
+    scarce: usize,
     returned: Rc<Notify>,
     trim: Rc<RefCell<Vec<Trim>>>,
 }
 
 impl Budget {
-    /// A budget for a program that may hold `limit` descriptors.
-    pub fn new(limit: usize) -> Self {
-        let left = Rc::new(Cell::new(limit.saturating_sub(APART).max(1)));
-        Budget { left, returned: Rc::default(), trim: Rc::default() }
+    /// The shares of clients and of pay servers in a program that may hold `limit` descriptors. Guards the
+    /// way to the pay servers against hundreds of clients, and the other way round.
+    pub fn shares(limit: usize) -> (Self, Self) {
+        let all = limit.saturating_sub(APART).max(2);
+        let clients = (all * CLIENTS / 100).max(1);
+        (Budget::new(clients), Budget::new(all - clients))
+    }
+
+    fn new(size: usize) -> Self {
+        let left = Rc::new(Cell::new(size));
+        Budget { left, scarce: size / SCARCE, returned: Rc::default(), trim: Rc::default() }
     }
 
     /// Names something that closes idle connections when descriptors run short.
@@ -40,7 +50,7 @@
 
     /// Takes one, if there is one; near the end idle connections are closed first.
     pub fn take(&self) -> Option<Slot> {
-        if self.left.get() <= SCARCE {
+        if self.left.get() <= self.scarce {
             self.trim.borrow().iter().for_each(|trim| trim());
         }
         self.left.set(self.left.get().checked_sub(1)?);
@@ -71,6 +81,8 @@
     }
     /// So many were written.
     fn wrote(&self, _bytes: usize) {}
+    /// Bytes have been read.
+    fn got(&self) {}
     /// The other side has closed.
     fn ended(&self) {}
 }
@@ -109,6 +121,8 @@
         let closed = matches!(polled, Poll::Ready(Ok(())) if buf.filled().len() == before);
         if closed || matches!(polled, Poll::Ready(Err(_))) {
             self.tap.ended();
+        } else if polled.is_ready() {
+            self.tap.got();
         }
         polled
     }
--- a/src/net/upstream.rs
+++ b/src/net/upstream.rs
@@ -121,6 +121,9 @@
     pub load: LoadNames,
 }
 
+/// Of each server: its address, its connections, and when they were last asked for.
+type Clients = BTreeMap<ServerId, (SocketAddr, Client, Micros)>;
+
 /// Keeps the connections to pay servers.
 pub struct Upstream {
     rules: Rules,
@@ -128,7 +131,7 @@
     log: Logger,
     budget: Budget,
     queue: Queue,
-    clients: Rc<RefCell<BTreeMap<ServerId, (SocketAddr, Client)>>>,
+    clients: Rc<RefCell<Clients>>,
     retired: Retired,
     out: BTreeMap<(RequestId, u32), oneshot::Sender<()>>,
 }
@@ -136,12 +139,14 @@
 impl Upstream {
     /// A keeper without connections.
     pub fn new(rules: Rules, clock: Clock, log: Logger, budget: Budget, queue: Queue) -> Self {
-        let clients: Rc<RefCell<BTreeMap<_, (SocketAddr, Client)>>> = Rc::default();
+        let clients: Rc<RefCell<Clients>> = Rc::default();
         let idle = Rc::downgrade(&clients);
+        // One server's at a time, the longest unused first: guards against opening all of them anew at once.
         budget.when_scarce(move || {
-            if let Some(clients) = idle.upgrade() {
-                clients.borrow_mut().clear();
-            }
+            let Some(clients) = idle.upgrade() else { return };
+            let mut clients = clients.borrow_mut();
+            let longest = clients.iter().min_by_key(|(_, c)| c.2).map(|(&server, _)| server);
+            longest.and_then(|server| clients.remove(&server));
         });
         let (retired, out) = Default::default();
         Upstream { rules, clock, log, budget, queue, clients, retired, out }
@@ -174,9 +179,11 @@
             // Retired well before the server closes it: guards against a write that crosses that close.
             let idle = self.rules.keepalive / 2;
             let client = client(self.budget.clone(), self.rules.connect, idle, Checked::new);
-            clients.insert(server, (address, client));
+            clients.insert(server, (address, client, 0));
         }
-        clients[&server].1.clone()
+        let client = clients.get_mut(&server).expect("it was just inserted");
+        client.2 = self.clock.now();
+        client.1.clone()
     }
 
     fn send(&mut self, attempt: Attempt) {
