Count pain above the way to another zone, so that far servers' limits can grow

Seen: with a zone lost, 38 % were refused while six far servers held one request or none each and 50 waited. Checked by a trace of every far answer: aims are a quarter of the usual here, so PAIN_FROM is 20 ms, which is the way to the other zone and back; of 91 answers in a second 7 to 11 were painless, and limits stood at 1/agents (0.5). Ruled out: outcomes other than Ok (2 of 800), set-aside servers, `full_until`, `rest`, descriptors, CPU. Line at fault, balance.rs `note`: the latency is compared with the aim, the crossing included.

Now the quickest answer of a far server, at most a fifth of the aim, is not counted. Without that cap five tests fail: a server crowded from the start would never hurt. Test: `the_way_to_another_zone_is_no_pain`, fails without it.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -18,6 +18,8 @@
 const LAG_MEMORY: f64 = 10_000_000.0;
 /// An answer starts to hurt at this part of its aim, so that trouble shows before worth is lost.
 const PAIN_FROM: f64 = 0.2;
+/// The way to another zone is taken for no more than this part of the aim.
+const WAY_MOST: f64 = 0.2;
 /// In-flight limit of a server, split by the number of agents: at first, and how it moves. Up by a part of
 /// one for each painless answer while the zone is in use (by the first limit until the first pain), down by
 /// the pain of each that hurts; so it settles near `LIMIT_UP` over the usual pain.
@@ -329,7 +331,11 @@
             node.mine += MINE_PACE * ((held / active.max(held)).max(1.0 / agents) - node.mine);
         }
         let aim = self.settings.classes[class].aim as f64;
-        let part = if e.outcome == Outcome::Ok { e.latency as f64 / aim } else { 1.0 };
+        // Guards other zones' servers against pain that is only the way there: its time, as the quickest answer
+        // tells it, is not load. Else their limits stay at the least and the fleet is no way out.
+        node.quickest = node.quickest.min(e.latency);
+        let way = if own { 0.0 } else { (node.quickest as f64).min(WAY_MOST * aim) };
+        let part = if e.outcome == Outcome::Ok { (e.latency as f64 - way) / aim } else { 1.0 };
         let hurt = ((part - PAIN_FROM) / (1.0 - PAIN_FROM)).clamp(0.0, 1.0);
         if hurt > 0.0 {
             node.limit = (node.limit - hurt * node.limit.min(1.0)).max(1.0 / agents);
--- a/src/state.rs
+++ b/src/state.rs
@@ -81,6 +81,8 @@
     /// How many may be in flight, and whether it has ever hurt.
     pub limit: f64,
     pub hurt: bool,
+    /// Its quickest answer so far: the way there and back, nearly.
+    pub quickest: Micros,
     /// This agent's part of its load, as far as known.
     pub mine: f64,
     /// It just turned a request away as full: nothing more until then.
@@ -110,6 +112,7 @@
             idle_since: None,
             limit,
             hurt: false,
+            quickest: Micros::MAX,
             mine,
             full_until: 0,
             failing: 0.0,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -317,6 +317,27 @@
     assert!(own > 50, "the rest stays: {own}");
 }
 
+#[test]
+fn the_way_to_another_zone_is_no_pain() {
+    // Guards against limits of far servers that stay at the least where aims are short and ways long.
+    let mut d = Driver::new(Settings { balancers: 4, ..settings(free()) });
+    d.list(Scope::Complete, vec![server(4, 1), server(5, 1)]);
+    // More is asked for than the limits allow, and every answer takes as long as the way there and a little work.
+    let (mut next, mut settled) = (0, 0);
+    let mut at_once = |d: &mut Driver| {
+        (next..next + 24).for_each(|n| d.request(n, 0));
+        next += 24;
+        let out = d.sends[settled..].to_vec();
+        d.pass(60 * MS);
+        out.iter().for_each(|s| d.settle(s.1, s.2, Outcome::Ok));
+        settled += out.len();
+        out.len()
+    };
+    let before = at_once(&mut d);
+    let after = (0..40).map(|_| at_once(&mut d)).last().unwrap_or(0);
+    assert!(after > before, "{before} at once at first, {after} in the end");
+}
+
 #[test]
 fn many_agents_share_what_a_server_can_hold() {
     // Guards against many agents: one request each at a time buries a server under all of them together.
