Take a reset for one connection's matter, and shorten the rests of a server that is well again

Lines at fault, balance.rs `note`: three resets in a row reach EJECT_AT, and a server brought back by a probe kept its doubled back-off for good, up to 8 s.

Now a reset weighs as little as a spoilt answer (a dead server refuses the next connection, which sets it aside), and the back-off ends once a server has been well for a while. Test: `a_few_broken_connections_in_a_row_set_nobody_aside`.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -301,15 +301,18 @@
         // "Full" is load, not ill health; a cancelled or moot attempt is our own doing.
         let (failed, pace) = match e.outcome {
             Outcome::Ok => (0.0, 0.25),
-            // Guards good servers against one answer spoilt or broken off: a dead one refuses connections next.
-            Outcome::Error | Outcome::Timeout | Outcome::Reset => (1.0, 0.25),
+            Outcome::Error | Outcome::Timeout => (1.0, 0.25),
             Outcome::ConnectFailed => (1.0, 0.45),
-            Outcome::Spoilt => (1.0, 0.1),
+            // Guards good servers against answers spoilt or broken off, a matter of one connection: a dead
+            // server refuses the next.
+            Outcome::Reset | Outcome::Spoilt => (1.0, 0.1),
             Outcome::Full | Outcome::Cancelled | Outcome::Moot | Outcome::Rejected => (0.0, 0.0),
         };
         node.failing += pace * (failed - node.failing);
         if e.outcome == Outcome::Ok {
             node.oks += 1.0;
+            // Guards a server that is well again against the long rests of its past.
+            node.backoff = if node.failing < 0.05 && node.aside.is_none() { 0 } else { node.backoff };
             // Failures are ended by an answer to a later send.
             if node.aside.is_some_and(|(since, _)| sent.is_some_and(|at| at >= since)) {
                 (node.aside, node.failing, node.backoff) = (None, 0.0, 0);
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -246,6 +246,18 @@
     assert!(hit.len() == 3 && hit == after, "all three go on: {after:?}");
 }
 
+#[test]
+fn a_few_broken_connections_in_a_row_set_nobody_aside() {
+    let mut d = ready(vec![class(Effect::SingleShot)]);
+    (1_000..1_060).for_each(|n| _ = d.serve(n, 0, 10 * MS));
+    for n in 0..12 {
+        d.request(n, 0);
+        let broken = d.last_server(n) == id(1);
+        d.settle(n, 0, if broken { Outcome::Reset } else { Outcome::Ok });
+    }
+    assert!((100..130).any(|n| d.serve(n, 0, 10 * MS) == id(1)), "it goes on");
+}
+
 #[test]
 fn who_is_set_aside_comes_back_by_a_probe_though_nothing_may_be_repeated() {
     let mut s = settings(vec![class(Effect::SingleShot)]);
