Close connections with their answer while a third of the clients' share is idle

Checked: clients may hold a third of the descriptors (128 of 384); many ask once and keep their connection, idle ones ended at 2.4 s only, so at most 53 new clients a second came in. Ruled out by a trace of the module: limits (zone room 9 to 20 with 0 to 4 out), rests, full and set-aside servers, budget; and CPU (0.13 s in a second). At fault: `Front::handle`, which left every good connection open whatever the number of idle ones. Now an answer says `Connection: close` while a third of the clients' share is idle, which costs no client a request; idle and unfinished ones end at 2.2 s, 2 s being owed.

--- a/src/main.rs
+++ b/src/main.rs
@@ -91,8 +91,8 @@
     let driver = Driver::new(balancer, setup.settings.limits.clone(), clock, log.clone(), orders);
     let mut driving = actix_rt::spawn(driver.run(messages, move || held.set(true)));
 
-    let front = Front::new(setup, clock, queue, log.clone(), ready);
-    let accepting = actix_rt::spawn(Rc::clone(&front).accept(listener, client_share));
+    let front = Front::new(setup, clock, queue, log.clone(), ready, client_share);
+    let accepting = actix_rt::spawn(Rc::clone(&front).accept(listener));
     info!(log, "serving"; "listen" => listen);
 
     loop {
--- a/src/net/listener.rs
+++ b/src/net/listener.rs
@@ -33,9 +33,11 @@
 
 /// A connection without a whole request is closed after this: half a request is owed an end within 3 s, and
 /// one that has been answered may stay for 2 s at least.
-const PATIENCE: Micros = 2_400_000;
+const PATIENCE: Micros = 2_200_000;
 /// A new connection is not taken for a silent one before this.
 const FRESH: Micros = 50_000;
+/// Connections are kept after an answer while less than this part of the clients' share is idle.
+const IDLE: usize = 3;
 
 /// What the listener shares with its connections.
 pub struct Front {
@@ -49,6 +51,8 @@
     pub log: Logger,
     /// A list of servers is held.
     pub ready: Rc<Cell<bool>>,
+    /// The clients' share of the descriptors.
+    pub budget: Budget,
     /// The program is about to end: answers close their connections.
     closing: Cell<bool>,
     doors: RefCell<BTreeMap<u64, Rc<Door>>>,
@@ -86,9 +90,25 @@
 
 impl Front {
     /// A listener's shared part.
-    pub fn new(setup: Setup, clock: Clock, queue: Queue, log: Logger, ready: Rc<Cell<bool>>) -> Rc<Self> {
+    pub fn new(
+        setup: Setup,
+        clock: Clock,
+        queue: Queue,
+        log: Logger,
+        ready: Rc<Cell<bool>>,
+        budget: Budget,
+    ) -> Rc<Self> {
         let (closing, doors, open, empty) = Default::default();
-        Rc::new(Front { setup, clock, queue, log, ready, closing, doors, open, empty })
+        Rc::new(Front { setup, clock, queue, log, ready, budget, closing, doors, open, empty })
+    }
+
+    /// Whether answers close their connections. Guards clients that may not open one more against those that
+    /// ask once and keep theirs: a connection closed with its answer loses nobody a request.
+    fn crowded(&self) -> bool {
+        let (doors, most) = (self.doors.borrow(), (self.budget.size / IDLE).max(1));
+        let idle = |d: &&Rc<Door>| d.answered.get() && !d.asked.get();
+        // The first test spares the count on all but crowded days.
+        doors.len() > most && doors.values().filter(idle).count() >= most
     }
 
     /// Closes a connection that waits for no answer, if there is one: of those that never asked anything the
@@ -104,7 +124,8 @@
     }
 
     /// Accepts until told to stop.
-    pub async fn accept(self: Rc<Self>, listener: TcpListener, budget: Budget) {
+    pub async fn accept(self: Rc<Self>, listener: TcpListener) {
+        let budget = self.budget.clone();
         let front = Rc::downgrade(&self);
         budget.when_scarce(move || {
             if let Some(front) = front.upgrade() {
@@ -207,7 +228,7 @@
                 response
             }
         };
-        if self.closing.get() {
+        if self.closing.get() || self.crowded() {
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
         door.answered.set(true);
--- a/src/net/sockets.rs
+++ b/src/net/sockets.rs
@@ -23,6 +23,8 @@
 /// Counts the connections of one share.
 #[derive(Clone)]
 pub struct Budget {
+    /// How many there are.
+    pub size: usize,
     left: Rc<Cell<usize>>,
     scarce: usize,
     returned: Rc<Notify>,
@@ -40,7 +42,7 @@
 
     fn new(size: usize) -> Self {
         let left = Rc::new(Cell::new(size));
-        Budget { left, scarce: size / SCARCE, returned: Rc::default(), trim: Rc::default() }
+        Budget { size, left, scarce: size / SCARCE, returned: Rc::default(), trim: Rc::default() }
     }
 
     /// Names something that closes idle connections when descriptors run short.
