Leave a server out for a class that it alone keeps silent on

A trace of each attempt by server and class: five of nine servers answered no timesheet-post from 7.5 s to 17.5 s (1,473 attempts cancelled, half of them after 333 ms or more) while the same servers answered deposit-order as before; nobody was set aside. Checked and ruled out: lost connections, full servers, news of servers, CPU. Cancelled, since the client leaves in the same moment as the attempt times out; and a server's `failing` is kept for all classes, so other answers hide it. At fault: `Balancer::note`, which draws nothing from a cancelled attempt and judges a server as a whole. Counted by class, limits grow again. Now `hear` keeps the silence of each class at each server, judged above the peers', and a trial that is given the class's aim and then goes elsewhere brings the class back.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -7,7 +7,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::api::*;
-use crate::state::{Attempt, Node, Open, Rng, Turn, Usual, follow, mix, unit};
+use crate::state::{Attempt, Mute, Node, Open, Rng, Turn, Usual, follow, mix, unit};
 
 /// Beats in the shortest aim: how often measurements fade and cold servers are granted requests.
 const BEATS_PER_AIM: u64 = 10;
@@ -45,6 +45,8 @@
 /// Average of failures that sets a server aside, and how far softer ones must stand out from the peers'.
 const EJECT_AT: f64 = 0.5;
 const EJECT_ABOVE_PEERS: f64 = 0.25;
+/// One attempt's part in the average of those that a server keeps silent on.
+const MUTE_PACE: f64 = 0.25;
 /// First and longest time aside before a trial request; doubled at each failed trial.
 const ASIDE: (Micros, Micros) = (1_000_000, 8_000_000);
 /// Second attempts of what may have run, for each request taken: at least, and more for how much more often
@@ -227,8 +229,12 @@
 
     /// In flight in the own zone or the others, and the sum of limits there. Guards against limits on trust
     /// where agents are so many that even first ones leave each less than one: what is known counts for all.
-    fn zone_load(&self, own: bool) -> (f64, f64) {
-        let here = |n: &&Node| n.server.phase == Phase::Ready && (n.server.zone == self.settings.zone) == own;
+    /// Who keeps silent on the class is none of it: its idle limit would keep the others' from growing.
+    fn zone_load(&self, own: bool, class: ClassId) -> (f64, f64) {
+        let here = |n: &&Node| {
+            let ready = n.server.phase == Phase::Ready && self.heard(n, class);
+            ready && (n.server.zone == self.settings.zone) == own
+        };
         let (aside, mut fit): (Vec<&Node>, Vec<&Node>) =
             self.nodes.values().filter(here).partition(|n| n.aside.is_some());
         let (mut count, all) = (fit.len() as f64, (fit.len() + aside.len()) as f64);
@@ -240,6 +246,11 @@
         (out, fit.iter().map(|n| n.limit).sum::<f64>() * count / fit.len().max(1) as f64)
     }
 
+    /// Whether it may be sent a class: it answers that, or a trial is due.
+    fn heard(&self, node: &Node, class: ClassId) -> bool {
+        node.mute.get(&class).is_none_or(|m| m.until <= self.now)
+    }
+
     /// Room below its in-flight limit, and, guarding rule 4 by whatever draw, retry or spillover: a cold
     /// server gets no more than its budget.
     fn room(&self, node: &Node) -> bool {
@@ -278,7 +289,7 @@
         let (now, agents) = (self.now, f64::from(self.settings.balancers));
         let Some(zone) = self.nodes.get(&e.server).map(|n| n.server.zone) else { return };
         let own = zone == self.settings.zone;
-        let (out_there, room_there) = self.zone_load(own);
+        let (out_there, room_there) = class.map_or((0.0, 0.0), |class| self.zone_load(own, class));
         let (mut failing, mut asides, mut count) = (0.0, 0, 0);
         for n in self.nodes.values().filter(|n| n.server.zone == zone && n.server.id != e.server) {
             (failing, asides, count) = (failing + n.failing, asides + n.aside.iter().count(), count + 1);
@@ -351,7 +362,7 @@
             // Guards against black holes: who refuses at once always has room, and would be sent ever more.
             node.full_until = now + self.usual[class].median as Micros;
         }
-        let room = self.zone_load(own).1;
+        let room = self.zone_load(own, class).1;
         if room < 1.0 {
             let took = if e.outcome == Outcome::Ok { e.latency as f64 } else { self.usual[class].median };
             self.rest[usize::from(own)] = now + ((1.0 / room.max(1.0 / agents) - 1.0) * took) as Micros;
@@ -362,6 +373,36 @@
         }
     }
 
+    /// Judges whether a server answers a class. Guards classes against servers silent on them alone: the
+    /// others' answers hide that, and clients leave before such an attempt times out.
+    fn hear(&mut self, e: &Settled, class: Option<ClassId>, sent: Option<Micros>, out: &mut Vec<Action>) {
+        let Some((class, at)) = class.zip(sent) else { return };
+        let late = self.now - at >= self.settings.classes[class].aim;
+        let silent = match e.outcome {
+            Outcome::Ok => false,
+            Outcome::Cancelled | Outcome::Timeout if late => true,
+            _ => return,
+        };
+        let peers = self.nodes.values().filter(|n| n.server.id != e.server);
+        let usual = peers.filter_map(|n| n.mute.get(&class)).map(|m| m.failing).sum::<f64>();
+        let usual = usual / (self.nodes.len() as f64 - 1.0).max(1.0);
+        let Some(node) = self.nodes.get_mut(&e.server).filter(|n| at >= n.since) else { return };
+        let known = node.mute.contains_key(&class);
+        let mute = node.mute.entry(class).or_default();
+        if at < mute.since || !known && !silent {
+            return; // it was sent before the class was left out, or all is well
+        }
+        mute.failing += MUTE_PACE * (f64::from(u8::from(silent)) - mute.failing);
+        if silent && mute.failing >= EJECT_AT && mute.failing - usual >= EJECT_ABOVE_PEERS {
+            mute.backoff = (mute.backoff * 2).clamp(ASIDE.0, ASIDE.1);
+            (mute.since, mute.until) = (self.now, self.now + mute.backoff);
+            let what = format!("server {:016x} keeps silent on class {class}", node.server.id.0);
+            out.push(Action::Log(what));
+        } else if !silent && mute.since > 0 {
+            *mute = Mute::default();
+        }
+    }
+
     /// A server set aside answered its trial probe, or did not: it is back in use, or rests for longer.
     fn probed(&mut self, server: ServerId, outcome: Outcome) {
         let Some(node) = self.nodes.get_mut(&server) else { return };
@@ -407,7 +448,7 @@
         let free = free && !self.settings.limits.probes;
         // Guards against many agents that each send a server one request at a time and bury it together.
         let zones = [false, true].map(|own| {
-            let (out, limit) = self.zone_load(own);
+            let (out, limit) = self.zone_load(own, open.request.class);
             out + 1.0 <= limit.max(1.0) && self.rest[usize::from(own)] <= self.now
         });
         let room = |n: &&Node| zones[usize::from(n.server.zone == self.settings.zone)] && self.room(n);
@@ -420,6 +461,7 @@
                     n.server.phase == Phase::Ready
                         && (n.server.zone == self.settings.zone) == own
                         && (!health || n.aside.is_none_or(|(_, until)| trial && until <= self.now))
+                        && (!health || self.heard(n, open.request.class))
                         && (again || open.attempts.iter().all(|a| a.server != n.server.id))
                         && self.allowed(open, n)
                 };
@@ -528,9 +570,16 @@
         if let Some((_, until)) = node.aside.as_mut().filter(|(_, until)| *until <= self.now) {
             *until = self.now + node.backoff; // this is the trial; the next comes after another back-off
         }
+        let class = open.request.class;
+        let mute = node.mute.get_mut(&class).filter(|m| m.since > 0 && m.until <= self.now);
+        // A trial of a class it kept silent on: no longer than it takes to know, so that it can go elsewhere.
+        let timeout = mute.map(|m| {
+            m.until = self.now + m.backoff;
+            self.settings.classes[class].aim
+        });
         let (zone, cell) = (node.server.zone, node.server.cell);
         open.attempts.push(Attempt { server, zone, cell, sent: self.now, outcome: None });
-        out.push(Action::Send { id, server, timeout: None });
+        out.push(Action::Send { id, server, timeout });
         if open.attempts.len() == 1 && self.settings.limits.may_duplicate {
             self.due.insert((self.now + self.usual[open.request.class].high as Micros, id));
         }
@@ -567,6 +616,7 @@
         let attempt = open.and_then(|o| o.attempts.get_mut(e.attempt as usize));
         let sent = attempt.filter(|a| a.outcome.is_none()).map(|a| a.end(e.outcome));
         self.note(&e, class, sent, out);
+        self.hear(&e, class, sent, out);
         let Some(open) = self.open.get(&e.id) else { return };
         if e.finished || open.done {
             if !open.done && open.outstanding() > 0 {
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,6 +1,7 @@
 //! What the decision module remembers: plain records and its random numbers. Nothing here decides anything.
 
 use std::cmp::Reverse;
+use std::collections::BTreeMap;
 
 use crate::api::*;
 
@@ -67,6 +68,17 @@
     }
 }
 
+/// How a server answers one class.
+#[derive(Default)]
+pub(crate) struct Mute {
+    /// Average of attempts it kept silent on, 0 to 1.
+    pub failing: f64,
+    /// Left out for the class since and until; `until` passed means a trial is due.
+    pub since: Micros,
+    pub until: Micros,
+    pub backoff: Micros,
+}
+
 /// What is known of one listed server.
 pub(crate) struct Node {
     pub server: Server,
@@ -94,6 +106,8 @@
     /// Set aside since and until; `until` passed means a trial is due.
     pub aside: Option<(Micros, Micros)>,
     pub backoff: Micros,
+    /// Of classes it has kept silent on.
+    pub mute: BTreeMap<ClassId, Mute>,
     /// Good answers, fading.
     pub oks: f64,
     /// What may still be sent to it while it is cold, how likely that was one or more, and until when.
@@ -119,6 +133,7 @@
             lag: 0.0,
             aside: None,
             backoff: 0,
+            mute: BTreeMap::new(),
             oks: 0.0,
             cold_left: 0.0,
             cold_chance: 1.0,
--- a/tests/decisions.rs
+++ b/tests/decisions.rs
@@ -285,6 +285,58 @@
     assert!(answer(&mut d, Outcome::Ok), "a good one brings it back");
 }
 
+#[test]
+fn a_server_silent_on_one_class_is_left_out_for_that_class_alone() {
+    let mut d = ready(vec![class(Effect::SingleShot), class(Effect::SingleShot)]);
+    (1_000..1_120).for_each(|n| _ = d.serve(n, (n % 2) as usize, 10 * MS));
+    let mut lost = 0;
+    for n in 0..120 {
+        if lost == 3 {
+            break;
+        }
+        let asked = (n % 2) as usize;
+        d.request(n, asked);
+        let silent = asked == 1 && d.last_server(n) == id(1);
+        d.pass(if silent { 300 * MS } else { 10 * MS });
+        if silent {
+            lost += 1;
+            d.hang_up(n);
+        }
+        d.settle(n, 0, if silent { Outcome::Cancelled } else { Outcome::Ok });
+    }
+    assert_eq!(lost, 3);
+    assert!((200..215).all(|n| d.serve(n, 1, MS) != id(1)), "left out for the class it keeps silent on");
+    assert!((300..330).any(|n| d.serve(n, 0, MS) == id(1)), "in use for the other");
+    d.pass(9 * SECOND);
+    assert!((400..430).any(|n| d.serve(n, 1, MS) == id(1)), "a trial");
+    assert!((500..530).filter(|n| d.serve(*n, 1, MS) == id(1)).count() > 5, "answered, it is back");
+}
+
+#[test]
+fn who_is_silent_on_a_class_holds_nobody_elses_limit_down() {
+    let mut d = Driver::new(settings(vec![class(Effect::SingleShot)]));
+    d.list(Scope::Complete, vec![server(1, 0), server(2, 0)]);
+    let ask = |d: &mut Driver, numbers: std::ops::Range<u64>| {
+        numbers.clone().for_each(|n| d.request(n, 0));
+        let sent: Vec<u64> = numbers.filter(|n| d.attempts(*n) > 0).collect();
+        d.pass(MS);
+        for n in &sent {
+            if d.last_server(*n) != id(1) {
+                d.settle(*n, 0, Outcome::Ok);
+            }
+        }
+        sent.len()
+    };
+    ask(&mut d, 0..10);
+    d.pass(300 * MS);
+    for n in (0..10).filter(|n| d.last_server(*n) == id(1)).collect::<Vec<_>>() {
+        d.hang_up(n);
+        d.settle(n, 0, Outcome::Cancelled);
+    }
+    (1..9).for_each(|round| assert_eq!(ask(&mut d, 100 * round..100 * round + 11), 11));
+    assert!(ask(&mut d, 2_000..2_040) >= 18, "the limit of the one that answers has grown");
+}
+
 #[test]
 fn failures_of_the_whole_zone_alike_do_not_empty_it() {
     // Guards against overload: time-outs everywhere are load, and the other zone would go down next.
