Forget the address of a server told as removed

At fault: `Driver::listed`, which kept each entry of a change, `removed` ones too; only a complete list took them out. Checked: the module and the connections had dropped them already (`members`, `Order::Retire`), attempts still out carry their own address.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -162,7 +162,11 @@
         for Entry { server, address } in &entries {
             gone.remove(&server.id);
             let takes = server.phase == Phase::Ready;
-            self.servers.insert(server.id, (*address, takes));
+            // Guards the memory against every server that ever left: nobody is sent to it again.
+            match server.phase {
+                Phase::Gone => drop(self.servers.remove(&server.id)),
+                _ => drop(self.servers.insert(server.id, (*address, takes))),
+            }
             // Guards rule 3: an attempt decided before this news may still be on its way to the socket.
             let order = if takes { Order::Admit(server.id) } else { Order::Retire(server.id) };
             let _ = self.orders.upstream.send(order);
--- a/tests/common/proxy.rs
+++ b/tests/common/proxy.rs
@@ -4,7 +4,7 @@
 //! the text (`\r`, `\n` escaped), `<` reads one message, `close` closes, `eof` waits until the program closes,
 //! `refuse` stops listening.
 //! `discovery list true|false UID.ZONE.STATE ...` is a line of the watch. `proxy log TEXT` waits for a line of
-//! the log, `proxy term` sends SIGTERM, `proxy exit` waits for the end; `proxy reload TEXT` replaces the
+//! the log, `proxy tells TEXT` writes it down, `proxy term` sends SIGTERM, `proxy exit` waits for the end; `proxy reload TEXT` replaces the
 //! configuration (by one that names that party as discovery, or by the text itself) and sends SIGHUP;
 //! `proxy sockets N` starts it with that many descriptors. Nothing sleeps: all wait for bytes.
 
@@ -87,6 +87,10 @@
         match (party, verb) {
             ("proxy", "sockets") => {}
             ("proxy", "log") => drop(self.wait_log(text)),
+            ("proxy", "tells") => {
+                let line = self.wait_log(text);
+                self.said += &format!("proxy: {}", &line[line.find(text).expect("it is there")..]);
+            }
             ("proxy", "term") => self.signal("-TERM"),
             ("proxy", "reload") => {
                 let text = match self.listeners.get(text) {
