--- /dev/null
+++ b/crates/emulator/src/judge.rs
@@ -0,0 +1,295 @@
+//! The judge: hears what truly happened, from clients and servers, never from a policy, and counts.
+//!
+//! Each operation (a client's wish, with all its tries) is asked once and ends in one fate. The four rules are
+//! checked on every try, run and send; each break is kept with its time, request, proxy and server.
+
+use hdrhistogram::Histogram;
+use ironmast_balancer::Micros;
+use rustc_hash::FxHashMap;
+use serde::Serialize;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::scenario::{Scenario, millis, seconds};
+
+/// Breaks kept with their details; all are counted.
+const BREAKS_KEPT: usize = 200;
+/// Greatest latency that histograms tell apart, in microseconds.
+const LATENCY_MOST: u64 = 3_600_000_000;
+
+/// The four rules.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rule {
+    /// One final answer for each request taken, in time.
+    OneAnswer,
+    /// No effect twice; attempts never together where that is not allowed, and not too many.
+    NoEffectTwice,
+    /// Nothing new to a draining or gone server.
+    DrainsKept,
+    /// No cold server pushed over.
+    ColdSpared,
+}
+
+/// One break of a rule.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Break {
+    /// Which rule.
+    pub rule: Rule,
+    /// When, in seconds of the run.
+    pub at_s: f64,
+    /// The proxy.
+    pub proxy: u32,
+    /// The server's number, where one is concerned.
+    pub server: Option<u32>,
+    /// The operation's number, where one is concerned.
+    pub request: Option<u64>,
+    /// What happened.
+    pub what: String,
+}
+
+/// How an operation ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fate {
+    /// Answered within its aim, or later.
+    Served(Micros),
+    /// Its last try was refused.
+    Refused,
+    /// Its last try failed, was left unanswered or could reach no proxy.
+    Failed,
+}
+
+/// Counts of operations.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    /// Asked.
+    pub asked: u64,
+    /// Answered within the aim.
+    pub served: u64,
+    /// Answered after it.
+    pub late: u64,
+    /// Refused in the end.
+    pub refused: u64,
+    /// Failed in the end.
+    pub failed: u64,
+}
+
+/// Worth asked for and worth served in time.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Worth {
+    /// Asked for.
+    pub asked: f64,
+    /// Served in time.
+    pub served: f64,
+}
+
+impl Worth {
+    /// Served over asked; 1 where nothing was asked.
+    pub fn share(self) -> f64 {
+        if self.asked > 0.0 { self.served / self.asked } else { 1.0 }
+    }
+}
+
+/// What the judge knows of one operation when it ends.
+pub struct Ended {
+    /// Its number, in the order of asking.
+    pub number: u64,
+    /// The proxy asked.
+    pub proxy: u32,
+    /// The proxy's zone.
+    pub zone: usize,
+    /// Its class.
+    pub class: usize,
+    /// When it was asked.
+    pub start: Micros,
+    /// How it ended.
+    pub fate: Fate,
+}
+
+/// Work on its way to one cold server.
+#[derive(Default)]
+struct Pressure {
+    window: std::collections::VecDeque<(Micros, f64, bool)>,
+    sum: f64,
+    informed: f64,
+}
+
+/// Counts, checks and digests one run.
+pub struct Judge {
+    origin: Micros,
+    warm_until: Micros,
+    window: Micros,
+    cold: (f64, f64, f64),
+    drain_grace: Micros,
+    worths: Vec<f64>,
+    aims: Vec<Micros>,
+    /// All, by class, by zone, by proxy, by window.
+    pub total: Worth,
+    /// See `total`.
+    pub by_class: Vec<(Worth, Counts)>,
+    /// See `total`.
+    pub by_zone: Vec<Worth>,
+    /// See `total`.
+    pub by_proxy: Vec<Worth>,
+    /// See `total`.
+    pub by_window: Vec<Worth>,
+    /// Operations.
+    pub counts: Counts,
+    /// Time from asking to the answer, of all that were answered.
+    pub latency: Histogram<u64>,
+    /// The first breaks, and how many there were.
+    pub breaks: Vec<Break>,
+    /// See `breaks`.
+    pub broken: u64,
+    pressure: FxHashMap<u32, Pressure>,
+    digest: Xxh3,
+}
+
+impl Judge {
+    /// A judge for a run of a scenario whose clock starts at `origin`.
+    pub fn new(scenario: &Scenario, origin: Micros) -> Self {
+        let window = seconds(scenario.window_s).max(1);
+        let windows = seconds(scenario.length_s).div_ceil(window) as usize;
+        let heaviest = scenario.class.iter().map(|c| c.work_ms * 1e3).fold(0.0, f64::max);
+        Judge {
+            origin,
+            warm_until: origin + seconds(scenario.warmup_s),
+            window,
+            cold: (scenario.rules.cold_multiple, scenario.rules.cold_window_s * 1e6, 2.0 * heaviest),
+            drain_grace: millis(scenario.rules.drain_grace_ms),
+            worths: scenario.class.iter().map(|c| c.worth).collect(),
+            aims: scenario.class.iter().map(|c| millis(c.aim_ms)).collect(),
+            total: Worth::default(),
+            by_class: vec![Default::default(); scenario.class.len()],
+            by_zone: vec![Worth::default(); scenario.zones.len()],
+            by_proxy: vec![Worth::default(); scenario.proxies.count as usize],
+            by_window: vec![Worth::default(); windows],
+            counts: Counts::default(),
+            latency: Histogram::new_with_bounds(1, LATENCY_MOST, 3).expect("sound bounds"),
+            breaks: Vec::new(),
+            broken: 0,
+            pressure: FxHashMap::default(),
+            digest: Xxh3::new(),
+        }
+    }
+
+    /// Takes a fact into the digest.
+    pub fn fact(&mut self, kind: u8, parts: [u64; 3]) {
+        let mut bytes = [0; 25];
+        bytes[0] = kind;
+        for (to, part) in bytes[1..].chunks_exact_mut(8).zip(parts) {
+            to.copy_from_slice(&part.to_le_bytes());
+        }
+        self.digest.update(&bytes);
+    }
+
+    /// The digest of all facts so far.
+    pub fn digest(&self) -> u64 {
+        self.digest.digest()
+    }
+
+    /// A rule was broken.
+    pub fn break_of(
+        &mut self,
+        rule: Rule,
+        at: Micros,
+        proxy: u32,
+        server: Option<u32>,
+        request: Option<u64>,
+        what: impl Into<String>,
+    ) {
+        self.broken += 1;
+        if self.breaks.len() < BREAKS_KEPT {
+            let at_s = (at - self.origin) as f64 / 1e6;
+            self.breaks.push(Break { rule, at_s, proxy, server, request, what: what.into() });
+        }
+    }
+
+    /// An operation ended.
+    pub fn ended(&mut self, ended: &Ended) {
+        let Ended { number, proxy, zone, class, start, fate } = *ended;
+        let took = match fate {
+            Fate::Served(took) => took,
+            Fate::Refused => u64::MAX,
+            Fate::Failed => u64::MAX - 1,
+        };
+        self.fact(1, [number, took, u64::from(proxy)]);
+        if start < self.warm_until {
+            return;
+        }
+        let worth = self.worths[class];
+        let in_time = matches!(fate, Fate::Served(took) if took <= self.aims[class]);
+        let served = if in_time { worth } else { 0.0 };
+        let window = ((start - self.origin) / self.window) as usize;
+        let window = window.min(self.by_window.len() - 1);
+        for place in [
+            &mut self.total,
+            &mut self.by_class[class].0,
+            &mut self.by_zone[zone],
+            &mut self.by_proxy[proxy as usize],
+            &mut self.by_window[window],
+        ] {
+            place.asked += worth;
+            place.served += served;
+        }
+        for counts in [&mut self.counts, &mut self.by_class[class].1] {
+            counts.asked += 1;
+            match fate {
+                Fate::Served(_) if in_time => counts.served += 1,
+                Fate::Served(_) => counts.late += 1,
+                Fate::Refused => counts.refused += 1,
+                Fate::Failed => counts.failed += 1,
+            }
+        }
+        if let Fate::Served(took) = fate {
+            self.latency.saturating_record(took.max(1));
+        }
+    }
+
+    /// A send to a server that the proxy knew to be draining or gone since `told`.
+    pub fn sent_to_closing(&mut self, at: Micros, told: Micros, proxy: u32, server: u32, request: u64) {
+        if at > told + self.drain_grace {
+            let late = (at - told) as f64 / 1e3;
+            let what = format!("sent {late:.0} ms after it was told that the server drains or is gone");
+            self.break_of(Rule::DrainsKept, at, proxy, Some(server), Some(request), what);
+        }
+    }
+
+    /// Work reached a cold server of that capacity; true where it is too much and the server falls over. The
+    /// rule is broken where two thirds of it came from proxies that knew of its start.
+    pub fn pressed(
+        &mut self,
+        at: Micros,
+        server: u32,
+        proxy: u32,
+        work: f64,
+        capacity: f64,
+        informed: bool,
+    ) -> bool {
+        let (multiple, window, slack) = self.cold;
+        let pressure = self.pressure.entry(server).or_default();
+        pressure.window.push_back((at, work, informed));
+        pressure.sum += work;
+        pressure.informed += if informed { work } else { 0.0 };
+        while let Some(&(_, old, knew)) = pressure.window.front().filter(|w| (at - w.0) as f64 > window) {
+            pressure.sum -= old;
+            pressure.informed -= if knew { old } else { 0.0 };
+            pressure.window.pop_front();
+        }
+        let most = multiple * (capacity * window + slack);
+        let (sum, informed) = (pressure.sum, pressure.informed);
+        if sum <= most {
+            return false;
+        }
+        self.pressure.remove(&server);
+        if informed * 3.0 >= sum * 2.0 {
+            let what = format!("{:.0} ms of work in its window, it bears {:.0} ms", sum / 1e3, most / 1e3);
+            self.break_of(Rule::ColdSpared, at, proxy, Some(server), None, what);
+        }
+        true
+    }
+
+    /// A server is warm, or gone: nothing is held against it any more.
+    pub fn relieved(&mut self, server: u32) {
+        self.pressure.remove(&server);
+    }
+}
--- /dev/null
+++ b/crates/emulator/src/lib.rs
@@ -0,0 +1,52 @@
+//! The emulator: the whole fleet in simulated time, without I/O.
+//!
+//! A [`Scenario`] is read from text, a [`World`] plays it under a policy and a seed, and a [`Report`] says what
+//! the judge found. The same scenario, policy and seed give the same digest on any machine, with any number of
+//! threads, in debug or release builds. See `docs/design/emulator.md` for what is modelled and why.
+//!
+//! ```
+//! use ironmast_emulator::{PolicyName, Scenario, World};
+//!
+//! let text = r#"
+//!     name = "two"
+//!     length_s = 2.0
+//!     zones = ["a"]
+//!     clients = { rate = 50.0 }
+//!     proxies = { count = 1 }
+//!     [[class]]
+//!     name = "read"
+//!     effect = "free"
+//!     work_ms = 5.0
+//!     aim_ms = 200.0
+//!     deadline_ms = 1000.0
+//!     [[pool]]
+//!     kind = "std"
+//!     servers = 2
+//!     cores = 2
+//! "#;
+//! let scenario = Scenario::read(text).expect("sound");
+//! let report = World::new(&scenario, PolicyName::Module, 1).run();
+//! assert!(report.rules_broken.is_empty() && report.service > 0.9);
+//! assert_eq!(report.digest, World::new(&scenario, PolicyName::Module, 1).run().digest);
+//! ```
+#![forbid(unsafe_code)]
+
+mod discovery;
+mod judge;
+mod network;
+mod policy;
+mod queue;
+mod random;
+mod report;
+mod scenario;
+mod server;
+mod trouble;
+mod world;
+
+pub use judge::{Break, Counts, Rule};
+pub use policy::{Policy, PolicyName, Truth};
+pub use random::{Concern, Stream};
+pub use report::{ClassReport, Latency, Load, Report, ServerReport, Traffic};
+pub use scenario::*;
+pub use server::Tally;
+pub use world::{Builder, COLUMNS, ORIGIN, World, settings};
--- /dev/null
+++ b/crates/emulator/src/scenario.rs
@@ -0,0 +1,802 @@
+//! Scenarios: what a run is made of, read from TOML and checked before anything starts.
+//!
+//! Every key is documented in `docs/scenarios.md`. Keys carry their unit (`_s`, `_ms`); shares lie between 0
+//! and 1. Nothing is guessed: an unknown key, a value out of range or a trouble that names nobody is refused
+//! with its line and what was expected.
+
+use std::fmt::Display;
+
+use ironmast_balancer::Micros;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+use toml::de::{DeTable, DeValue};
+
+/// Why a scenario was refused.
+#[derive(Debug, Error, PartialEq, Eq)]
+#[error("line {line}: {problem}")]
+pub struct ScenarioError {
+    /// The line in the text, from 1.
+    pub line: usize,
+    /// What is wrong, and what was expected.
+    pub problem: String,
+}
+
+/// A whole scenario.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// Its name, as reports show it.
+    pub name: String,
+    /// One sentence on what it is for.
+    #[serde(default)]
+    pub about: String,
+    /// Clients ask for this long; 0.1 to 86,400.
+    pub length_s: f64,
+    /// What begins before this is played but not counted.
+    #[serde(default)]
+    pub warmup_s: f64,
+    /// Length of the windows of the time series and of the worst window.
+    #[serde(default = "defaults::window_s")]
+    pub window_s: f64,
+    /// Names of the zones.
+    pub zones: Vec<String>,
+    /// Who the clients are and how they ask.
+    pub clients: Clients,
+    /// The proxies, and what they may do.
+    pub proxies: Proxies,
+    /// Latency and connections.
+    #[serde(default)]
+    pub network: Network,
+    /// How proxies hear of servers.
+    #[serde(default)]
+    pub discovery: DiscoverySpec,
+    /// The figures of the four rules.
+    #[serde(default)]
+    pub rules: Rules,
+    /// Classes of requests.
+    pub class: Vec<Class>,
+    /// Groups of like servers.
+    pub pool: Vec<Pool>,
+    /// What goes wrong, and when.
+    #[serde(default)]
+    pub trouble: Vec<Trouble>,
+}
+
+/// How clients ask.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Clients {
+    /// Requests a second, over all proxies, retries not counted.
+    pub rate: f64,
+    /// How arrivals are spaced: poisson, even, bursty.
+    #[serde(default)]
+    pub arrivals: Arrivals,
+    /// Bursty: mean length of a burst and of the rest between two, and the rate inside a burst as a multiple.
+    #[serde(default = "defaults::one")]
+    pub burst_s: f64,
+    /// See `burst_s`.
+    #[serde(default = "defaults::one")]
+    pub rest_s: f64,
+    /// See `burst_s`.
+    #[serde(default = "defaults::two")]
+    pub burst_factor: f64,
+    /// The rate over time, as (second, factor): straight lines between the points, level outside of them.
+    #[serde(default)]
+    pub curve: Vec<(f64, f64)>,
+    /// One proxy's traffic against an ordinary one's.
+    #[serde(default = "defaults::one")]
+    pub busiest: f64,
+    /// Further tries of one request at most.
+    #[serde(default)]
+    pub retries: u32,
+    /// When they come: at-once, fixed, exponential, retry-after.
+    #[serde(default)]
+    pub retry_wait: RetryWait,
+    /// Wait of `fixed`, first wait of `exponential`, least wait of `retry-after`.
+    #[serde(default = "defaults::retry_ms")]
+    pub retry_ms: f64,
+    /// A try is given up after this share of the class's deadline, drawn between the two.
+    #[serde(default = "defaults::patience")]
+    pub patience: (f64, f64),
+    /// Share of tries whose client leaves at some time before that, unannounced.
+    #[serde(default)]
+    pub walk_away: f64,
+}
+
+/// How arrivals are spaced.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Arrivals {
+    /// Independent of each other.
+    #[default]
+    Poisson,
+    /// One after the other at the same distance.
+    Even,
+    /// Poisson, at a rate that jumps up and down.
+    Bursty,
+}
+
+/// When a client tries again.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum RetryWait {
+    /// In the same moment.
+    AtOnce,
+    /// After `retry_ms`, give or take a fifth.
+    #[default]
+    Fixed,
+    /// After `retry_ms`, twice that, four times ... with full jitter.
+    Exponential,
+    /// When the refusal says, at least `retry_ms` later.
+    RetryAfter,
+}
+
+/// The proxies.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Proxies {
+    /// How many.
+    pub count: u32,
+    /// Weights of the zones, in their order; even where left out.
+    #[serde(default)]
+    pub zone_weights: Vec<f64>,
+    /// Attempts for a request at most.
+    #[serde(default = "defaults::tries")]
+    pub most_tries: u32,
+    /// Two attempts of one request may be out together.
+    #[serde(default)]
+    pub may_duplicate: bool,
+    /// Attempts may be called off.
+    #[serde(default = "defaults::yes")]
+    pub cancel: bool,
+    /// Servers may be probed.
+    #[serde(default = "defaults::yes")]
+    pub probes: bool,
+    /// Proxies may send each other messages.
+    #[serde(default)]
+    pub peers: bool,
+    /// Servers tell their load when probed.
+    #[serde(default = "defaults::yes")]
+    pub load_reports: bool,
+    /// The longest stay-away a client honours.
+    #[serde(default = "defaults::two")]
+    pub max_retry_after_s: f64,
+    /// What crossing zones costs, as a share of the worth: the module waits that long for room at home.
+    #[serde(default = "defaults::cross_zone")]
+    pub cross_zone: f64,
+    /// The list tells the servers' true sizes.
+    #[serde(default)]
+    pub sizes: bool,
+}
+
+/// Latency and connections.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Network {
+    /// One way inside a zone.
+    pub inside_ms: f64,
+    /// One way between zones.
+    pub between_ms: f64,
+    /// A way takes longer by up to this share.
+    pub jitter: f64,
+    /// Share of datagrams lost.
+    pub datagram_loss: f64,
+    /// A connection that is not made by then counts as failed.
+    pub connect_timeout_ms: f64,
+    /// Idle connections close after this.
+    pub idle_close_s: f64,
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Network {
+            inside_ms: 0.3,
+            between_ms: 8.0,
+            jitter: 0.2,
+            datagram_loss: 0.01,
+            connect_timeout_ms: 200.0,
+            idle_close_s: 60.0,
+        }
+    }
+}
+
+/// How proxies hear of servers.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct DiscoverySpec {
+    /// True: proxies must watch. False: changes reach them unasked.
+    pub watch: bool,
+    /// News of a start, a drain and an end comes this late.
+    pub start_s: f64,
+    /// See `start_s`.
+    pub drain_s: f64,
+    /// See `start_s`.
+    pub gone_s: f64,
+    /// News is spread over this time among the proxies.
+    pub spread_s: f64,
+    /// Calls answered a second, one after another.
+    pub calls_per_s: f64,
+    /// A call that would wait longer fails.
+    pub most_wait_s: f64,
+}
+
+impl Default for DiscoverySpec {
+    fn default() -> Self {
+        DiscoverySpec {
+            watch: true,
+            start_s: 1.0,
+            drain_s: 0.3,
+            gone_s: 1.5,
+            spread_s: 0.05,
+            calls_per_s: 500.0,
+            most_wait_s: 2.0,
+        }
+    }
+}
+
+/// The figures of the four rules.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Rules {
+    /// A final answer this long after the client's deadline still counts.
+    pub answer_slack_ms: f64,
+    /// Nothing new to a draining or gone server this long after being told.
+    pub drain_grace_ms: f64,
+    /// A proxy that neither watches nor asks for this long counts as told.
+    pub ask_within_s: f64,
+    /// A cold server sent more than this multiple of its capacity ...
+    pub cold_multiple: f64,
+    /// ... in a window of this length falls over.
+    pub cold_window_s: f64,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Rules {
+            answer_slack_ms: 20.0,
+            drain_grace_ms: 300.0,
+            ask_within_s: 10.0,
+            cold_multiple: 4.0,
+            cold_window_s: 2.0,
+        }
+    }
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Its name.
+    pub name: String,
+    /// Its part of the requests, against the others'.
+    #[serde(default = "defaults::one")]
+    pub share: f64,
+    /// What a repeat does: free (no harm), keyed (dropped for a while), once (must never run twice).
+    pub effect: EffectSpec,
+    /// Keyed: which servers drop a repeat.
+    #[serde(default)]
+    pub group: GroupSpec,
+    /// Keyed: for how long after the first run.
+    #[serde(default = "defaults::four")]
+    pub dedup_s: f64,
+    /// How its work is distributed: fixed, exponential, lognormal.
+    #[serde(default)]
+    pub law: Law,
+    /// Mean work, on a core of speed 1.
+    pub work_ms: f64,
+    /// Lognormal: standard deviation over mean.
+    #[serde(default = "defaults::half")]
+    pub cv: f64,
+    /// An answer within this earns its worth.
+    pub aim_ms: f64,
+    /// A client waits this long at most, over all its tries.
+    pub deadline_ms: f64,
+    /// What an answer in time is worth.
+    #[serde(default = "defaults::one")]
+    pub worth: f64,
+}
+
+/// What a repeat does.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum EffectSpec {
+    /// No harm.
+    Free,
+    /// Dropped by servers for a while.
+    Keyed,
+    /// Must never happen.
+    Once,
+}
+
+/// Which servers drop a repeat.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum GroupSpec {
+    /// All of them.
+    #[default]
+    All,
+    /// Those of the first one's zone.
+    Zone,
+}
+
+/// Distribution of work.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize, PartialEq, Eq)]
+#[serde(rename_all = "kebab-case")]
+pub enum Law {
+    /// Always the mean.
+    Fixed,
+    /// Memoryless.
+    Exponential,
+    /// Long-tailed, by `cv`.
+    #[default]
+    Lognormal,
+}
+
+/// A group of like servers.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    /// Their kind.
+    pub kind: String,
+    /// Their zone, or `*`: dealt out over all zones in turn.
+    #[serde(default = "defaults::everywhere")]
+    pub zone: String,
+    /// How many.
+    pub servers: u32,
+    /// Cores of each.
+    pub cores: u32,
+    /// Requests in work at once; beyond the cores they share them. The cores where left out.
+    #[serde(default)]
+    pub slots: u32,
+    /// Requests that may wait; more are turned away.
+    #[serde(default = "defaults::queue")]
+    pub queue: u32,
+    /// Speed of a core, drawn between the two.
+    #[serde(default = "defaults::speed")]
+    pub speed: (f64, f64),
+    /// Open connections at most; 0 for no limit.
+    #[serde(default)]
+    pub connections: u32,
+    /// Work of a new connection and of a probe.
+    #[serde(default)]
+    pub handshake_work_ms: f64,
+    /// See `handshake_work_ms`.
+    #[serde(default)]
+    pub probe_work_ms: f64,
+    /// A started server begins with this share of its capacity; 1 for no cold start.
+    #[serde(default = "defaults::one")]
+    pub cold_share: f64,
+    /// And is warm after this.
+    #[serde(default = "defaults::eight")]
+    pub cold_s: f64,
+    /// Or after this much work, in core-seconds, if that is sooner; 0: by time alone.
+    #[serde(default)]
+    pub cold_work_s: f64,
+    /// More than this many requests held for each core overdrive it; 0: never.
+    #[serde(default)]
+    pub overdrive_ratio: f64,
+    /// If that lasts so long.
+    #[serde(default = "defaults::two")]
+    pub overdrive_s: f64,
+    /// It turns slower by this factor.
+    #[serde(default = "defaults::two")]
+    pub overdrive_factor: f64,
+    /// Until it has been at most half busy for so long.
+    #[serde(default = "defaults::three")]
+    pub recover_s: f64,
+    /// Work stops, or does not begin, once its request is cancelled.
+    #[serde(default = "defaults::yes")]
+    pub drops_cancelled: bool,
+    /// Work does not begin once its client has given up.
+    #[serde(default = "defaults::yes")]
+    pub drops_overdue: bool,
+}
+
+impl Pool {
+    /// Requests in work at once.
+    pub fn in_work(&self) -> u32 {
+        if self.slots == 0 { self.cores } else { self.slots }
+    }
+}
+
+/// Something that goes wrong.
+#[derive(Clone, Debug, Deserialize, Serialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Trouble {
+    /// What.
+    pub kind: TroubleKind,
+    /// From this second on.
+    pub at_s: f64,
+    /// For so long.
+    #[serde(default)]
+    pub for_s: f64,
+    /// Share of the servers (or, for restart, of the proxies) that it meets.
+    #[serde(default = "defaults::one")]
+    pub share: f64,
+    /// Only those of that zone.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub zone: String,
+    /// Only that class (grey).
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub class: String,
+    /// How much slower (slow, shared-slow, grey), or how many times the load (surge).
+    #[serde(default = "defaults::two")]
+    pub factor: f64,
+    /// Without a sign: machines vanish (zone-lost, crash), answers never come (grey).
+    #[serde(default)]
+    pub silent: bool,
+    /// The zone's proxies and their clients are lost with it.
+    #[serde(default)]
+    pub proxies: bool,
+    /// Deploy: share of the fleet replaced at a time, over `for_s` in all.
+    #[serde(default = "defaults::tenth")]
+    pub batch: f64,
+    /// Deploy: how long a server drains before it ends.
+    #[serde(default = "defaults::three")]
+    pub drain_s: f64,
+    /// Pause: length of one; they come every ten times as long.
+    #[serde(default = "defaults::half")]
+    pub pause_s: f64,
+    /// Retry storm: tries that clients make at once in place of their own rule.
+    #[serde(default = "defaults::tries")]
+    pub retries: u32,
+}
+
+/// What can go wrong.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, PartialEq, Eq, PartialOrd, Ord)]
+#[serde(rename_all = "kebab-case")]
+pub enum TroubleKind {
+    /// Some servers are slower.
+    Slow,
+    /// All servers are slower: something that they depend on.
+    SharedSlow,
+    /// One class is slow or unanswered on some servers.
+    Grey,
+    /// Some servers stop for a moment, again and again.
+    Pause,
+    /// Processes end, or machines vanish, and come back cold.
+    Crash,
+    /// All servers of a zone do.
+    ZoneLost,
+    /// A zone's links to the others carry nothing.
+    ZoneCut,
+    /// Servers are replaced, batch by batch, by cold ones with new ids at the same addresses.
+    Deploy,
+    /// Proxies end and begin from nothing.
+    Restart,
+    /// Clients ask more often.
+    Surge,
+    /// Clients try again at once, and more often.
+    RetryStorm,
+    /// Discovery answers nobody, and its watches end.
+    DiscoveryOutage,
+}
+
+mod defaults {
+    pub fn window_s() -> f64 {
+        10.0
+    }
+    pub fn tenth() -> f64 {
+        0.1
+    }
+    pub fn half() -> f64 {
+        0.5
+    }
+    pub fn one() -> f64 {
+        1.0
+    }
+    pub fn two() -> f64 {
+        2.0
+    }
+    pub fn three() -> f64 {
+        3.0
+    }
+    pub fn four() -> f64 {
+        4.0
+    }
+    pub fn eight() -> f64 {
+        8.0
+    }
+    pub fn retry_ms() -> f64 {
+        100.0
+    }
+    pub fn patience() -> (f64, f64) {
+        (1.0, 1.0)
+    }
+    pub fn speed() -> (f64, f64) {
+        (1.0, 1.0)
+    }
+    pub fn tries() -> u32 {
+        3
+    }
+    pub fn queue() -> u32 {
+        64
+    }
+    pub fn yes() -> bool {
+        true
+    }
+    pub fn everywhere() -> String {
+        "*".into()
+    }
+    pub fn cross_zone() -> f64 {
+        0.16
+    }
+}
+
+/// Seconds as whole microseconds.
+pub fn seconds(s: f64) -> Micros {
+    (s * 1e6) as Micros
+}
+
+/// Milliseconds as whole microseconds.
+pub fn millis(ms: f64) -> Micros {
+    (ms * 1e3) as Micros
+}
+
+/// The first thing that is wrong: its path in the file and what was expected there.
+type Flaw = (String, String);
+
+fn within<T: PartialOrd + Display>(path: &str, value: T, least: T, most: T) -> Result<(), Flaw> {
+    // Written so that a NaN is out of range too.
+    if value >= least && value <= most {
+        return Ok(());
+    }
+    Err((path.to_string(), format!("is {value}, expected {least} to {most}")))
+}
+
+fn wrong<T>(path: impl Into<String>, problem: impl Into<String>) -> Result<T, Flaw> {
+    Err((path.into(), problem.into()))
+}
+
+impl Scenario {
+    /// Reads and checks a scenario.
+    ///
+    /// # Errors
+    /// The first thing that is wrong, with its line.
+    pub fn read(text: &str) -> Result<Scenario, ScenarioError> {
+        let line = |at: usize| text[..at.min(text.len())].matches('\n').count() + 1;
+        let scenario: Scenario = toml::from_str(text).map_err(|e| ScenarioError {
+            line: line(e.span().map_or(0, |s| s.start)),
+            problem: e.message().replace('\n', "; "),
+        })?;
+        scenario.check().map_err(|(path, problem)| ScenarioError {
+            line: line(offset(text, &path)),
+            problem: format!("{path} {problem}"),
+        })?;
+        Ok(scenario)
+    }
+
+    /// The scenario as text that [`Scenario::read`] takes.
+    pub fn write(&self) -> String {
+        toml::to_string(self).expect("plain tables and numbers")
+    }
+
+    /// Checks that the figures make sense, alone and together.
+    ///
+    /// # Errors
+    /// The path of the first that does not, and what was expected there.
+    pub fn check(&self) -> Result<(), (String, String)> {
+        let share = |path: &str, v: f64| within(path, v, 0.0, 1.0);
+        if self.name.is_empty() {
+            return wrong("name", "is empty, expected a name");
+        }
+        within("length_s", self.length_s, 0.1, 86_400.0)?;
+        within("warmup_s", self.warmup_s, 0.0, self.length_s)?;
+        within("window_s", self.window_s, 0.01, 86_400.0)?;
+        within("zones", self.zones.len(), 1, 1_000)?;
+        for (i, zone) in self.zones.iter().enumerate() {
+            if zone.is_empty() || zone == "*" || self.zones[..i].contains(zone) {
+                return wrong("zones", format!("names `{zone}` at {i}, expected names that differ"));
+            }
+        }
+        self.check_clients()?;
+        let p = &self.proxies;
+        within("proxies.count", p.count, 1, 100_000)?;
+        within("proxies.most_tries", p.most_tries, 1, 3)?;
+        within("proxies.max_retry_after_s", p.max_retry_after_s, 0.0, 3_600.0)?;
+        share("proxies.cross_zone", p.cross_zone)?;
+        if !p.zone_weights.is_empty() {
+            let sound = p.zone_weights.iter().all(|w| w.is_finite() && *w >= 0.0);
+            if p.zone_weights.len() != self.zones.len() || !sound || p.zone_weights.iter().sum::<f64>() <= 0.0
+            {
+                return wrong("proxies.zone_weights", "do not fit, expected one weight from 0 for each zone");
+            }
+        }
+        let n = &self.network;
+        for (path, v) in [("network.inside_ms", n.inside_ms), ("network.between_ms", n.between_ms)] {
+            within(path, v, 0.0, 10_000.0)?;
+        }
+        within("network.jitter", n.jitter, 0.0, 10.0)?;
+        share("network.datagram_loss", n.datagram_loss)?;
+        within("network.connect_timeout_ms", n.connect_timeout_ms, 1.0, 60_000.0)?;
+        within("network.idle_close_s", n.idle_close_s, 0.1, 86_400.0)?;
+        let d = &self.discovery;
+        for (path, v) in [
+            ("discovery.start_s", d.start_s),
+            ("discovery.drain_s", d.drain_s),
+            ("discovery.gone_s", d.gone_s),
+            ("discovery.spread_s", d.spread_s),
+            ("discovery.most_wait_s", d.most_wait_s),
+        ] {
+            within(path, v, 0.0, 3_600.0)?;
+        }
+        within("discovery.calls_per_s", d.calls_per_s, 0.1, 1e6)?;
+        let r = &self.rules;
+        within("rules.answer_slack_ms", r.answer_slack_ms, 0.0, 10_000.0)?;
+        within("rules.drain_grace_ms", r.drain_grace_ms, 0.0, 60_000.0)?;
+        within("rules.ask_within_s", r.ask_within_s, 0.1, 3_600.0)?;
+        within("rules.cold_multiple", r.cold_multiple, 1.0, 100.0)?;
+        within("rules.cold_window_s", r.cold_window_s, 0.1, 60.0)?;
+        within("class", self.class.len(), 1, 100)?;
+        for (i, class) in self.class.iter().enumerate() {
+            class.check(&format!("class.{i}"))?;
+            if self.class[..i].iter().any(|c| c.name == class.name) {
+                return wrong(format!("class.{i}.name"), "stands twice, expected names that differ");
+            }
+        }
+        within("pool", self.pool.len(), 1, 1_000)?;
+        for (i, pool) in self.pool.iter().enumerate() {
+            pool.check(&format!("pool.{i}"))?;
+            if pool.zone != "*" && !self.zones.contains(&pool.zone) {
+                let zones = self.zones.join(", ");
+                return wrong(format!("pool.{i}.zone"), format!("is `{}`, expected *, {zones}", pool.zone));
+            }
+        }
+        within("pool", self.pool.iter().map(|p| u64::from(p.servers)).sum(), 1, 100_000)?;
+        self.trouble.iter().enumerate().try_for_each(|(i, t)| t.check(&format!("trouble.{i}"), self))
+    }
+
+    fn check_clients(&self) -> Result<(), Flaw> {
+        let c = &self.clients;
+        within("clients.rate", c.rate, 0.001, 1e7)?;
+        within("clients.burst_s", c.burst_s, 0.001, 3_600.0)?;
+        within("clients.rest_s", c.rest_s, 0.001, 3_600.0)?;
+        within("clients.burst_factor", c.burst_factor, 1.0, 1_000.0)?;
+        within("clients.busiest", c.busiest, 0.001, 1e6)?;
+        within("clients.retries", c.retries, 0, 100)?;
+        within("clients.retry_ms", c.retry_ms, 0.0, 3_600_000.0)?;
+        within("clients.walk_away", c.walk_away, 0.0, 1.0)?;
+        let (from, to) = c.patience;
+        if !(from > 0.0 && from <= to && to <= 1.0) {
+            return wrong(
+                "clients.patience",
+                format!("is {from} to {to}, expected two rising shares over 0 up to 1"),
+            );
+        }
+        let rising = c.curve.windows(2).all(|w| w[0].0 < w[1].0);
+        let sound =
+            c.curve.iter().all(|p| p.0.is_finite() && p.1.is_finite() && (0.0..=1_000.0).contains(&p.1));
+        if !rising || !sound {
+            return wrong(
+                "clients.curve",
+                "does not fit, expected rising seconds, each with a factor from 0 to 1000",
+            );
+        }
+        Ok(())
+    }
+
+    /// The rate against the mean at a second, by the curve.
+    pub fn curve(&self, at_s: f64) -> f64 {
+        let curve = &self.clients.curve;
+        let next = curve.partition_point(|p| p.0 <= at_s);
+        match (next.checked_sub(1).and_then(|i| curve.get(i)), curve.get(next)) {
+            (Some(a), Some(b)) => a.1 + (b.1 - a.1) * (at_s - a.0) / (b.0 - a.0),
+            (Some(a), None) => a.1,
+            (None, Some(b)) => b.1,
+            (None, None) => 1.0,
+        }
+    }
+
+    /// The highest value of the curve.
+    pub fn curve_most(&self) -> f64 {
+        let most = self.clients.curve.iter().map(|p| p.1).fold(0.0, f64::max);
+        if self.clients.curve.is_empty() { 1.0 } else { most }
+    }
+
+    /// Requests a second that all servers together can serve when warm, by mean work and mean speed.
+    pub fn capacity(&self) -> f64 {
+        let cores: f64 = self
+            .pool
+            .iter()
+            .map(|p| f64::from(p.servers) * f64::from(p.cores) * (p.speed.0 + p.speed.1) / 2.0)
+            .sum();
+        let shares: f64 = self.class.iter().map(|c| c.share).sum();
+        cores / self.class.iter().map(|c| c.share / shares * c.work_ms / 1e3).sum::<f64>()
+    }
+}
+
+impl Class {
+    fn check(&self, at: &str) -> Result<(), Flaw> {
+        if self.name.is_empty() {
+            return wrong(format!("{at}.name"), "is empty, expected a name");
+        }
+        within(&format!("{at}.share"), self.share, 1e-6, 1e6)?;
+        within(&format!("{at}.dedup_s"), self.dedup_s, 0.0, 3_600.0)?;
+        within(&format!("{at}.work_ms"), self.work_ms, 0.001, 3_600_000.0)?;
+        within(&format!("{at}.cv"), self.cv, 0.0, 100.0)?;
+        within(&format!("{at}.aim_ms"), self.aim_ms, 0.1, 3_600_000.0)?;
+        within(&format!("{at}.deadline_ms"), self.deadline_ms, self.aim_ms, 3_600_000.0)?;
+        within(&format!("{at}.worth"), self.worth, 0.0, 1e6)
+    }
+}
+
+impl Pool {
+    fn check(&self, at: &str) -> Result<(), Flaw> {
+        let at = |key: &str| format!("{at}.{key}");
+        within(&at("servers"), self.servers, 0, 100_000)?;
+        within(&at("cores"), self.cores, 1, 1_024)?;
+        within(&at("slots"), self.in_work(), self.cores, 100_000)?;
+        within(&at("queue"), self.queue, 0, 100_000_000)?;
+        let (from, to) = self.speed;
+        if !(from > 0.0 && from <= to && to <= 1_000.0) {
+            return wrong(at("speed"), format!("is {from} to {to}, expected two rising speeds over 0"));
+        }
+        within(&at("handshake_work_ms"), self.handshake_work_ms, 0.0, 1_000.0)?;
+        within(&at("probe_work_ms"), self.probe_work_ms, 0.0, 1_000.0)?;
+        within(&at("cold_share"), self.cold_share, 0.01, 1.0)?;
+        within(&at("cold_s"), self.cold_s, 0.001, 3_600.0)?;
+        within(&at("cold_work_s"), self.cold_work_s, 0.0, 1e6)?;
+        within(&at("overdrive_ratio"), self.overdrive_ratio, 0.0, 1e6)?;
+        within(&at("overdrive_s"), self.overdrive_s, 0.0, 3_600.0)?;
+        within(&at("overdrive_factor"), self.overdrive_factor, 1.0, 1_000.0)?;
+        within(&at("recover_s"), self.recover_s, 0.0, 3_600.0)
+    }
+}
+
+impl Trouble {
+    fn check(&self, at: &str, scenario: &Scenario) -> Result<(), Flaw> {
+        use TroubleKind as K;
+        let at = |key: &str| format!("{at}.{key}");
+        within(&at("at_s"), self.at_s, 0.0, scenario.length_s)?;
+        let least = if self.kind == K::Restart { 0.0 } else { 0.001 };
+        within(&at("for_s"), self.for_s, least, 86_400.0)?;
+        within(&at("share"), self.share, 0.001, 1.0)?;
+        within(&at("factor"), self.factor, 0.01, 1_000.0)?;
+        within(&at("batch"), self.batch, 0.001, 1.0)?;
+        within(&at("drain_s"), self.drain_s, 0.0, 600.0)?;
+        within(&at("pause_s"), self.pause_s, 0.001, 600.0)?;
+        within(&at("retries"), self.retries, 0, 100)?;
+        let zone_wanted = matches!(self.kind, K::ZoneLost | K::ZoneCut);
+        let (zones, classes) = (&scenario.zones, || scenario.class.iter().map(|c| c.name.as_str()));
+        if zone_wanted && self.zone.is_empty() {
+            return wrong(at("zone"), format!("is missing, expected one of {}", zones.join(", ")));
+        }
+        if !self.zone.is_empty() && !zones.contains(&self.zone) {
+            return wrong(at("zone"), format!("is `{}`, expected one of {}", self.zone, zones.join(", ")));
+        }
+        let class_known = classes().any(|c| c == self.class);
+        if (!self.class.is_empty() || self.kind == K::Grey) && !class_known {
+            let classes = classes().collect::<Vec<_>>().join(", ");
+            return wrong(at("class"), format!("is `{}`, expected one of {classes}", self.class));
+        }
+        let of_servers = !matches!(
+            self.kind,
+            K::ZoneCut | K::Restart | K::Surge | K::RetryStorm | K::DiscoveryOutage | K::SharedSlow
+        );
+        let here = |p: &Pool| p.servers > 0 && (self.zone.is_empty() || p.zone == "*" || p.zone == self.zone);
+        if of_servers && !scenario.pool.iter().any(here) {
+            return wrong(at("zone"), format!("`{}` has no server, expected a zone that has one", self.zone));
+        }
+        Ok(())
+    }
+}
+
+/// Where the value at a dotted path stands in the text; where it is missing, the nearest thing round it.
+fn offset(text: &str, path: &str) -> usize {
+    let Ok(root) = DeTable::parse(text) else { return 0 };
+    let mut at = root.span().start;
+    let mut table = Some(root.get_ref());
+    let mut value: Option<&DeValue> = None;
+    for key in path.split('.') {
+        let next = match (table, value) {
+            (Some(t), _) => t.get(key),
+            (None, Some(DeValue::Array(items))) => key.parse().ok().and_then(|i: usize| items.get(i)),
+            (None, Some(DeValue::Table(t))) => t.get(key),
+            _ => None,
+        };
+        let Some(next) = next else { break };
+        at = next.span().start;
+        (table, value) = (None, Some(next.get_ref()));
+    }
+    at
+}
--- /dev/null
+++ b/crates/emulator/tests/judge.rs
@@ -0,0 +1,271 @@
+//! The judge catches whoever breaks a rule, and nobody else; runs repeat exactly.
+
+use std::collections::BTreeMap;
+
+use ironmast_balancer::{Action, Event, Micros, Outcome, Phase, RequestId, Scope, ServerId, Settings};
+use ironmast_emulator::{Policy, PolicyName, Report, Rule, Scenario, Truth, World};
+use rayon::prelude::*;
+
+/// A small fleet; `more` goes under the last heading.
+fn fleet(more: &str) -> Scenario {
+    let text = format!(
+        r#"
+        name = "fleet"
+        length_s = 12.0
+        window_s = 2.0
+        zones = ["a", "b"]
+        clients = {{ rate = 120.0, retries = 1, patience = [0.7, 1.0], walk_away = 0.02 }}
+        proxies = {{ count = 4 }}
+        discovery = {{ start_s = 0.4, drain_s = 0.2, gone_s = 0.5 }}
+        [[class]]
+        name = "keep"
+        share = 2.0
+        effect = "keyed"
+        dedup_s = 1.0
+        work_ms = 20.0
+        aim_ms = 300.0
+        deadline_ms = 800.0
+        [[class]]
+        name = "once"
+        effect = "once"
+        work_ms = 30.0
+        aim_ms = 400.0
+        deadline_ms = 1200.0
+        [[pool]]
+        kind = "std"
+        servers = 6
+        cores = 2
+        cold_share = 0.3
+        cold_s = 4.0
+        {more}
+        "#
+    );
+    Scenario::read(&text).expect("sound")
+}
+
+const DEPLOY: &str = "[[trouble]]\nkind = \"deploy\"\nat_s = 2.0\nfor_s = 6.0\nbatch = 0.34\ndrain_s = 2.0";
+const SLOW: &str = "[[trouble]]\nkind = \"slow\"\nat_s = 2.0\nfor_s = 6.0\nshare = 0.6\nfactor = 20.0";
+
+/// What a dishonest policy does wrong.
+#[derive(Clone, Copy, PartialEq)]
+enum Sin {
+    NeverAnswers,
+    AnswersTwice,
+    SendsWhatIsOver,
+    RepeatsWhatMayHaveRun,
+    TwoTogether,
+    FourAttempts,
+    RefusesWhatRan,
+    SendsToDraining,
+    BuriesTheCold,
+}
+
+/// Sends to whoever was listed, in turn, and sins.
+struct Sinner {
+    sin: Sin,
+    servers: BTreeMap<ServerId, bool>,
+    turn: usize,
+    tries: BTreeMap<RequestId, u32>,
+    started: BTreeMap<ServerId, Micros>,
+    subscribed: bool,
+}
+
+impl Sinner {
+    fn next(&mut self) -> Option<ServerId> {
+        self.turn += 1;
+        if self.sin == Sin::BuriesTheCold
+            && let Some((id, _)) = self.started.iter().max_by_key(|s| s.1)
+        {
+            return Some(*id);
+        }
+        let all = self.sin == Sin::SendsToDraining;
+        let fit: Vec<ServerId> = self.servers.iter().filter(|s| all || *s.1).map(|s| *s.0).collect();
+        fit.get(self.turn % fit.len().max(1)).copied()
+    }
+
+    fn send(&mut self, id: RequestId, out: &mut Vec<Action>) {
+        if let Some(server) = self.next() {
+            *self.tries.entry(id).or_default() += 1;
+            // Short of patience, so that more is tried than a careful policy would.
+            out.push(Action::Send { id, server, timeout: Some(150_000) });
+        }
+    }
+}
+
+impl Policy for Sinner {
+    fn handle(&mut self, now: Micros, event: Event, _: &dyn Truth, out: &mut Vec<Action>) {
+        if !std::mem::replace(&mut self.subscribed, true) {
+            out.push(Action::Subscribe(true));
+        }
+        match event {
+            Event::Members(listing) => {
+                if listing.scope == Scope::Complete {
+                    self.servers.clear();
+                }
+                for server in listing.servers {
+                    // The one that sends to drains forgets nobody.
+                    let gone = server.phase == Phase::Gone && self.sin != Sin::SendsToDraining;
+                    match gone {
+                        true => drop((self.servers.remove(&server.id), self.started.remove(&server.id))),
+                        false => drop(self.servers.insert(server.id, server.phase == Phase::Ready)),
+                    }
+                    if let Some(at) = server.started.filter(|_| server.phase == Phase::Ready) {
+                        self.started.insert(server.id, at);
+                    }
+                }
+            }
+            Event::Request(request) => {
+                let id = request.id;
+                let last = request.expires.saturating_sub(now + 10_000);
+                if self.sin != Sin::NeverAnswers {
+                    out.push(Action::Timer { delay: last, token: id });
+                }
+                self.tries.insert(id, 0);
+                self.send(id, out);
+                if self.sin == Sin::TwoTogether {
+                    self.send(id, out);
+                }
+            }
+            Event::Settled(settled) if settled.finished => {
+                self.tries.remove(&settled.id);
+                if settled.outcome == Outcome::Ok {
+                    match self.sin {
+                        Sin::AnswersTwice => out.push(Action::Fail { id: settled.id }),
+                        Sin::SendsWhatIsOver => self.send(settled.id, out),
+                        _ => {}
+                    }
+                }
+            }
+            Event::Settled(settled) => {
+                let tries = self.tries.get(&settled.id).copied().unwrap_or(9);
+                let again = match self.sin {
+                    Sin::RepeatsWhatMayHaveRun => tries < 3,
+                    Sin::FourAttempts => tries < 4,
+                    _ => settled.outcome.never_ran() && tries < 3,
+                };
+                match again {
+                    _ if self.sin == Sin::NeverAnswers => {}
+                    true => self.send(settled.id, out),
+                    // Said to be harmless, whatever may have run: the client tries again.
+                    false if self.sin == Sin::RefusesWhatRan => {
+                        out.push(Action::Refuse { id: settled.id, retry_after: None });
+                    }
+                    false => {
+                        self.tries.remove(&settled.id);
+                        out.push(Action::Fail { id: settled.id });
+                    }
+                }
+            }
+            Event::Timer { token } if self.tries.remove(&token).is_some() => {
+                out.push(Action::Fail { id: token });
+            }
+            Event::HungUp { id } => drop(self.tries.remove(&id)),
+            _ => {}
+        }
+    }
+}
+
+fn sin(sin: Sin, scenario: &Scenario) -> Report {
+    let build = |_: Settings, _: u64| -> Box<dyn Policy> {
+        let (servers, tries, started) = Default::default();
+        Box::new(Sinner { sin, servers, turn: 0, tries, started, subscribed: false })
+    };
+    World::with(scenario, "sinner", 3, Box::new(build)).run()
+}
+
+#[test]
+fn each_rule_broken_on_purpose_is_caught() {
+    for (what, rule, trouble, told) in [
+        (Sin::NeverAnswers, Rule::OneAnswer, SLOW, "no final answer"),
+        (Sin::AnswersTwice, Rule::OneAnswer, "", "a second final answer"),
+        (Sin::SendsWhatIsOver, Rule::OneAnswer, "", "has its answer"),
+        (Sin::RepeatsWhatMayHaveRun, Rule::NoEffectTwice, SLOW, "`once` ran again"),
+        (Sin::TwoTogether, Rule::NoEffectTwice, "", "out together"),
+        (Sin::FourAttempts, Rule::NoEffectTwice, SLOW, "more attempts"),
+        (Sin::RefusesWhatRan, Rule::NoEffectTwice, SLOW, "`once` ran again"),
+        (Sin::SendsToDraining, Rule::DrainsKept, DEPLOY, "ms after it was told"),
+        (Sin::BuriesTheCold, Rule::ColdSpared, DEPLOY, "of work in its window"),
+    ] {
+        let mut scenario = fleet(trouble);
+        // Enough to bury one server that is cold.
+        scenario.clients.rate *= if what == Sin::BuriesTheCold { 3.0 } else { 1.0 };
+        let report = sin(what, &scenario);
+        let caught = report.rules_broken.iter().find(|b| b.rule == rule && b.what.contains(told));
+        let caught = caught.unwrap_or_else(|| panic!("{told}: {:?}", report.rules_broken.first()));
+        assert!((0.0..14.0).contains(&caught.at_s) && caught.proxy < 4, "{caught:?}");
+        let r = report.requests;
+        assert_eq!(r.asked, r.served + r.late + r.refused + r.failed);
+    }
+}
+
+#[test]
+fn honest_policies_are_not_accused() {
+    let troubles = "[[trouble]]\nkind = \"zone-lost\"\nat_s = 3.0\nfor_s = 3.0\nzone = \"a\"\nsilent = true\n\
+        [[trouble]]\nkind = \"restart\"\nat_s = 5.0\nfor_s = 0.3\nshare = 0.5\n\
+        [[trouble]]\nkind = \"discovery-outage\"\nat_s = 4.0\nfor_s = 3.0\n\
+        [[trouble]]\nkind = \"zone-cut\"\nat_s = 7.0\nfor_s = 2.0\nzone = \"b\"\n\
+        [[trouble]]\nkind = \"pause\"\nat_s = 1.0\nfor_s = 8.0\nshare = 0.3\npause_s = 0.2\n\
+        [[trouble]]\nkind = \"grey\"\nat_s = 2.0\nfor_s = 4.0\nshare = 0.2\nclass = \"once\"\nsilent = true\n";
+    let scenarios = [fleet(""), fleet(SLOW), fleet(DEPLOY), fleet(&format!("{troubles}{DEPLOY}\n{SLOW}"))];
+    let runs: Vec<(usize, PolicyName, u64)> = (0..scenarios.len())
+        .flat_map(|s| PolicyName::ALL.into_iter().flat_map(move |p| (0..4).map(move |seed| (s, p, seed))))
+        .collect();
+    runs.into_par_iter().for_each(|(s, policy, seed)| {
+        let report = World::new(&scenarios[s], policy, seed).run();
+        let name = policy.name();
+        assert!(report.requests.asked > 1_000, "{name}: {:?}", report.requests);
+        assert_eq!(report.breaks, 0, "{name} in {s} with {seed}: {:?}", report.rules_broken.first());
+    });
+}
+
+/// Arrivals, work and troubles are the same for every policy: two runs differ by what the policies did alone.
+#[test]
+fn policies_meet_the_same_clients() {
+    let scenario = fleet(DEPLOY);
+    let asked = |policy| World::new(&scenario, policy, 5).run().requests.asked;
+    assert!(PolicyName::ALL.iter().all(|p| asked(*p) == asked(PolicyName::Module)));
+}
+
+/// Written down once: they hold on any machine, with any number of threads, in debug and release builds.
+#[test]
+fn digests_are_the_same_everywhere() {
+    let scenario = fleet(DEPLOY);
+    let digest = |seed| World::new(&scenario, PolicyName::TwoChoices, seed).run().digest;
+    let here: Vec<String> = (0..3).map(digest).collect();
+    let apart: Vec<String> = (0..3).into_par_iter().map(digest).collect();
+    assert_eq!(here, apart);
+    assert_eq!(here, ["e2951a4914702af8", "e0dd59a2633efe40", "3d8afb8753e772c0"]);
+    let module = |_| World::new(&scenario, PolicyName::Module, 1).run().digest;
+    let runs: Vec<String> = (0..4).into_par_iter().map(module).collect();
+    assert!(runs.iter().all(|d| *d == runs[0]), "{runs:?}");
+}
+
+#[test]
+fn what_is_not_sound_is_refused_with_its_line() {
+    let sound = fleet(DEPLOY).write();
+    assert_eq!(Scenario::read(&sound), Ok(fleet(DEPLOY)), "what is written can be read");
+    let table = sound.lines().position(|l| l == "[[trouble]]").expect("there is one") + 1;
+    for (from, to, told) in [
+        ("length_s = 12.0", "length_s = -1.0", "length_s is -1, expected 0.1 to 86400"),
+        ("length_s = 12.0", "lenght_s = 12.0", "unknown field `lenght_s`"),
+        ("kind = \"deploy\"", "kind = \"explode\"", "unknown variant `explode`"),
+        ("cores = 2", "cores = 0", "pool.0.cores is 0, expected 1 to 1024"),
+        ("cores = 2", "cores = \"two\"", "invalid type: string \"two\""),
+        ("zone = \"*\"", "zone = \"c\"", "pool.0.zone is `c`, expected *, a, b"),
+        ("effect = \"once\"", "effect = \"twice\"", "unknown variant `twice`"),
+        ("at_s = 2.0", "at_s = 99.0", "trouble.0.at_s is 99, expected 0 to 12"),
+        ("at_s = 2.0", "at_s = nan", "trouble.0.at_s is NaN, expected 0 to 12"),
+        ("kind = \"deploy\"", "kind = \"zone-lost\"", "trouble.0.zone is missing, expected one of a, b"),
+        ("kind = \"deploy\"", "kind = \"grey\"", "trouble.0.class is ``, expected one of keep, once"),
+        ("name = \"once\"", "name = \"keep\"", "class.1.name stands twice"),
+    ] {
+        assert!(sound.contains(from), "{from} in {sound}");
+        let bad = sound.replacen(from, to, 1);
+        let error = Scenario::read(&bad).expect_err(to);
+        assert!(error.problem.contains(told), "{error}");
+        // What is missing is told at the start of the table that lacks it.
+        let changed = sound.lines().zip(bad.lines()).position(|(a, b)| a != b).expect("one differs") + 1;
+        let there = if told.contains("missing") || told.contains("``") { table } else { changed };
+        assert_eq!(error.line, there, "{error}\n{bad}");
+    }
+}
--- /dev/null
+++ b/crates/lab/src/compare.rs
@@ -0,0 +1,260 @@
+//! Scenarios under several policies and the same seeds: a table, CSV, pictures and one report.
+
+use std::path::Path;
+use std::process::ExitCode;
+
+use ironmast_emulator::{PolicyName, Report, Scenario};
+
+use crate::files;
+use crate::pictures::{self, Curve};
+use crate::play::{Jobs, Note, Trial};
+use crate::statistics::{Figure, Mean, mean, paired};
+
+/// Runs of one scenario and policy, by seed.
+pub struct Group<'a> {
+    /// The policy.
+    pub policy: PolicyName,
+    /// The runs.
+    pub runs: Vec<&'a Note>,
+}
+
+impl Group<'_> {
+    /// A figure of each run.
+    pub fn values(&self, figure: impl Fn(&Report) -> f64) -> Vec<f64> {
+        self.runs.iter().map(|n| figure(&n.report)).collect()
+    }
+}
+
+/// The columns of the table that get an interval.
+const FIGURES: [(&str, Figure); 4] = [
+    ("service", |r| r.service),
+    ("worst window", |r| r.worst_window),
+    ("worst class", |r| r.worst_class),
+    ("p99, ms", |r| r.latency_us.p99 as f64 / 1e3),
+];
+
+/// Runs of one scenario, by policy in the given order; only seeds that all policies have finished.
+pub fn groups<'a>(notes: &'a [Note], scenario: &str, policies: &[PolicyName]) -> Vec<Group<'a>> {
+    let of = |p: PolicyName, seed: u64| {
+        let fits = move |n: &&Note| {
+            n.report.scenario == scenario && n.report.policy == p.name() && n.report.seed == seed
+        };
+        notes.iter().find(fits)
+    };
+    let mut seeds: Vec<u64> = notes.iter().map(|n| n.report.seed).collect();
+    seeds.sort_unstable();
+    seeds.dedup();
+    seeds.retain(|seed| policies.iter().all(|p| of(*p, *seed).is_some()));
+    let group =
+        |p: &PolicyName| Group { policy: *p, runs: seeds.iter().filter_map(|s| of(*p, *s)).collect() };
+    policies.iter().map(group).collect()
+}
+
+/// One row of the table for each policy: figures, and the difference in service from the first policy.
+pub fn rows(groups: &[Group]) -> Vec<Vec<String>> {
+    let first = groups.first().map(|g| g.values(FIGURES[0].1)).unwrap_or_default();
+    let row = |(i, group): (usize, &Group)| {
+        let mut row = vec![group.policy.name().to_string()];
+        row.extend(FIGURES.iter().map(|(_, f)| mean(&group.values(f)).text()));
+        let difference = paired(&group.values(FIGURES[0].1), &first);
+        row.push(if i == 0 { "-".into() } else { told(difference) });
+        row.push(group.runs.iter().map(|n| n.report.breaks).sum::<u64>().to_string());
+        row
+    };
+    groups.iter().enumerate().map(row).collect()
+}
+
+fn told(difference: Mean) -> String {
+    let verdict = if difference.is_real() { "real" } else { "not told apart" };
+    format!("{} ({verdict})", difference.text())
+}
+
+/// The table's head; `first` is the policy that others are held against.
+pub fn head(first: &str) -> Vec<String> {
+    let figures = FIGURES.iter().map(|f| f.0.to_string());
+    let against = format!("service against {first}");
+    ["policy".to_string()].into_iter().chain(figures).chain([against, "rules broken".into()]).collect()
+}
+
+/// Columns of equal width, for the terminal.
+pub fn plain_table(head: &[String], rows: &[Vec<String>]) -> String {
+    let width = |c: usize| rows.iter().chain([&head.to_vec()]).map(|r| r[c].len()).max().unwrap_or(0);
+    let widths: Vec<usize> = (0..head.len()).map(width).collect();
+    let line = |row: &[String]| {
+        let cells = row.iter().zip(&widths).map(|(cell, w)| format!("{cell:w$}"));
+        cells.collect::<Vec<_>>().join("  ").trim_end().to_string()
+    };
+    let lines: Vec<String> = [line(head)].into_iter().chain(rows.iter().map(|r| line(r))).collect();
+    lines.join("\n")
+}
+
+/// One line a run.
+pub fn csv(notes: &[Note]) -> String {
+    let mut text = String::from(
+        "scenario,policy,seed,service,worst_window,worst_class,worst_zone,worst_proxy,asked,served,late,refused,\
+         failed,p50_us,p90_us,p99_us,p999_us,max_us,mean_load,greatest_load,attempts,cross_zone,probes,breaks,\
+         events,wall_s,digest\n",
+    );
+    for note in notes {
+        let (r, q, l) = (&note.report, &note.report.requests, &note.report.latency_us);
+        text += &format!(
+            "{},{},{},{:.6},{:.6},{:.6},{:.6},{:.6},{},{},{},{},{},{},{},{},{},{},{:.5},{:.5},{},{},{},{},{},{:.3},{}\n",
+            r.scenario.replace(',', " "),
+            r.policy,
+            r.seed,
+            r.service,
+            r.worst_window,
+            r.worst_class,
+            r.worst_zone,
+            r.worst_proxy,
+            q.asked,
+            q.served,
+            q.late,
+            q.refused,
+            q.failed,
+            l.p50,
+            l.p90,
+            l.p99,
+            l.p999,
+            l.max,
+            r.servers.mean,
+            r.servers.greatest,
+            r.traffic.attempts,
+            r.traffic.cross_zone,
+            r.traffic.probes,
+            r.breaks,
+            r.events,
+            note.wall_s,
+            r.digest
+        );
+    }
+    text
+}
+
+/// Plays everything, and writes what was finished even where it was stopped.
+pub fn run(
+    scenarios: Vec<Scenario>,
+    policies: &[PolicyName],
+    seeds: u64,
+    out: &Path,
+) -> Result<ExitCode, String> {
+    for (i, scenario) in scenarios.iter().enumerate() {
+        if scenarios[..i].iter().any(|s| s.name == scenario.name) {
+            return Err(format!("two scenarios are called `{}`, expected names that differ", scenario.name));
+        }
+    }
+    if seeds == 0 || policies.is_empty() {
+        return Err("nothing to play, expected one policy and one seed at least".into());
+    }
+    files::folder(out)?;
+    let mut trials = Vec::new();
+    for scenario in &scenarios {
+        for seed in 1..=seeds {
+            trials.extend(policies.iter().map(|&policy| Trial { scenario, policy, seed }));
+        }
+    }
+    let jobs = Jobs::begin(trials.len() as u64)?;
+    let notes = jobs.play_all(&trials);
+    jobs.end();
+    files::write(&out.join("runs.csv"), &csv(&notes))?;
+    let mut sections = Vec::new();
+    for scenario in &scenarios {
+        let groups = groups(&notes, &scenario.name, policies);
+        let played = groups.first().map_or(0, |g| g.runs.len());
+        if played == 0 {
+            println!("{}: no seed was finished under every policy", scenario.name);
+            continue;
+        }
+        let (head, rows) = (head(policies[0].name()), rows(&groups));
+        println!(
+            "{}, {played} seeds, mean and 95 % interval\n{}\n",
+            scenario.name,
+            plain_table(&head, &rows)
+        );
+        let pictures = scenario_pictures(scenario, &groups)?;
+        for (name, svg) in &pictures {
+            files::write(&out.join(format!("{}-{name}.svg", file_name(&scenario.name))), svg)?;
+        }
+        sections.push(pictures::Section {
+            title: format!("{} - {}", scenario.name, scenario.about),
+            note: format!("{played} seeds; mean and 95 % interval; differences are paired by seed."),
+            head,
+            rows,
+            pictures: pictures.into_iter().map(|p| p.1).collect(),
+        });
+    }
+    files::write(&out.join("report.html"), &pictures::page("Policies compared", &sections))?;
+    println!("written: {}", out.join("report.html").display());
+    let broken: u64 = notes.iter().map(|n| n.report.breaks).sum();
+    Ok(match () {
+        () if jobs.stopped() => ExitCode::from(130),
+        () if broken > 0 => ExitCode::from(1),
+        () => ExitCode::SUCCESS,
+    })
+}
+
+/// A name as part of a file's name.
+pub fn file_name(name: &str) -> String {
+    name.chars().map(|c| if c.is_ascii_alphanumeric() || "-_.".contains(c) { c } else { '_' }).collect()
+}
+
+fn scenario_pictures(scenario: &Scenario, groups: &[Group]) -> Result<Vec<(String, String)>, String> {
+    let name = &scenario.name;
+    let window = scenario.window_s;
+    let over_time = |group: &Group| {
+        let windows = group.runs.first().map_or(0, |n| n.report.by_window.len());
+        let at = |w: usize| mean(&group.values(|r| r.by_window[w])).value;
+        let points = (0..windows).map(|w| ((w as f64 + 0.5) * window, at(w))).collect();
+        Curve { name: group.policy.name().into(), points }
+    };
+    let latency = |group: &Group| {
+        let count = group.runs[0].report.latency_curve.len();
+        let point = |i: usize| {
+            let percentile = group.runs[0].report.latency_curve[i].0;
+            let ms = mean(&group.values(|r| r.latency_curve[i].1 as f64 / 1e3)).value;
+            (pictures::nines(percentile), ms.max(0.01))
+        };
+        Curve { name: group.policy.name().into(), points: (0..count).map(point).collect() }
+    };
+    let load = |group: &Group| {
+        let report = &group.runs[0].report;
+        let up = report.each.iter().filter(|s| s.tally.there > 0.0);
+        let mut busy: Vec<f64> = up.map(|s| s.tally.busy / s.tally.there * 100.0).collect();
+        busy.sort_by(f64::total_cmp);
+        let points = busy.iter().enumerate().map(|(i, b)| (i as f64 + 1.0, *b)).collect();
+        Curve { name: group.policy.name().into(), points }
+    };
+    let mut all = vec![
+        (
+            "service".to_string(),
+            pictures::curves(
+                &format!("{name}: service over time"),
+                ("time, s", "worth served in time, share"),
+                &groups.iter().map(over_time).collect::<Vec<_>>(),
+                Some((0.0, 1.02)),
+            )?,
+        ),
+        (
+            "latency".to_string(),
+            pictures::latency(
+                &format!("{name}: latency of answers"),
+                &groups.iter().map(latency).collect::<Vec<_>>(),
+            )?,
+        ),
+        (
+            "load".to_string(),
+            pictures::curves(
+                &format!("{name}: load per server, first seed"),
+                ("server, least busy first", "cores in use, %"),
+                &groups.iter().map(load).collect::<Vec<_>>(),
+                Some((0.0, 102.0)),
+            )?,
+        ),
+    ];
+    for group in groups {
+        let title = format!("{name}: servers over time, {}, first seed", group.policy.name());
+        let picture = pictures::heat(&title, scenario.length_s, &group.runs[0].report.each)?;
+        all.push((format!("servers-{}", group.policy.name()), picture));
+    }
+    Ok(all)
+}
--- /dev/null
+++ b/crates/lab/src/sweep.rs
@@ -0,0 +1,199 @@
+//! One figure of a scenario varied over a range.
+
+use std::path::Path;
+use std::process::ExitCode;
+use std::str::FromStr;
+
+use ironmast_emulator::{PolicyName, Scenario};
+use toml::Value;
+
+use crate::compare;
+use crate::files::{self, Loaded};
+use crate::pictures::{self, Curve, Section};
+use crate::play::{Jobs, Note, Trial};
+use crate::statistics::{Figure, mean};
+
+/// Steps where none are told.
+const STEPS: usize = 8;
+
+/// What is varied, from where to where, in how many steps.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Vary {
+    path: String,
+    from: f64,
+    to: f64,
+    steps: usize,
+}
+
+impl FromStr for Vary {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let expected = || format!("`{text}`: expected PATH=FROM..TO[:STEPS], as in clients.rate=100..900:9");
+        let (path, range) = text.split_once('=').ok_or_else(expected)?;
+        let (range, steps) = match range.split_once(':') {
+            Some((range, steps)) => (range, steps.parse().map_err(|_| expected())?),
+            None => (range, STEPS),
+        };
+        let (from, to) = range.split_once("..").ok_or_else(expected)?;
+        let (from, to): (f64, f64) =
+            (from.parse().map_err(|_| expected())?, to.parse().map_err(|_| expected())?);
+        if path.is_empty() || steps < 2 || !from.is_finite() || !to.is_finite() {
+            return Err(expected());
+        }
+        Ok(Vary { path: path.into(), from, to, steps })
+    }
+}
+
+impl Vary {
+    fn values(&self) -> Vec<f64> {
+        let step = |i: usize| self.from + (self.to - self.from) * i as f64 / (self.steps - 1) as f64;
+        (0..self.steps).map(step).collect()
+    }
+
+    /// The scenario with the figure set; whole numbers stay whole.
+    fn apply(&self, text: &str, value: f64) -> Result<Scenario, String> {
+        let set = |written: Option<Value>| {
+            let mut root: toml::Table = text.parse().map_err(|e: toml::de::Error| e.message().to_string())?;
+            let (table, key) = place(&mut root, &self.path)
+                .ok_or_else(|| format!("{}: the scenario holds no such figure", self.path))?;
+            let whole = Value::Integer(value.round() as i64);
+            let shown = matches!(table.get(key), Some(Value::Integer(_)));
+            let plain = if shown { whole } else { Value::Float(value) };
+            // A figure that the file leaves to its default may be named too: the reading finds wrong names.
+            table.insert(key.to_string(), written.unwrap_or(plain));
+            let text = toml::to_string(&root).map_err(|e| e.to_string())?;
+            Scenario::read(&text).map_err(|e| format!("{} = {value}: {}", self.path, e.problem))
+        };
+        let whole = Value::Integer(value.round() as i64);
+        set(None).or_else(|problem| set(Some(whole)).map_err(|_| problem))
+    }
+}
+
+/// The table that holds the last key of a path, and that key.
+fn place<'a, 'p>(root: &'a mut toml::Table, path: &'p str) -> Option<(&'a mut toml::Table, &'p str)> {
+    let (way, last) = path.rsplit_once('.').unwrap_or(("", path));
+    let (mut table, mut way) = (root, way.split('.').filter(|key| !key.is_empty()));
+    while let Some(key) = way.next() {
+        table = match table.get_mut(key)? {
+            Value::Table(table) => table,
+            Value::Array(items) => items.get_mut(way.next()?.parse::<usize>().ok()?)?.as_table_mut()?,
+            _ => return None,
+        };
+    }
+    Some((table, last))
+}
+
+/// Figures that are drawn over the varied one.
+const FIGURES: [(&str, &str, Figure); 4] = [
+    ("service", "worth served in time, share", |r| r.service),
+    ("worst-window", "service of the worst window, share", |r| r.worst_window),
+    ("p99", "latency of 99 in 100, ms", |r| r.latency_us.p99 as f64 / 1e3),
+    ("load", "cores in use, share", |r| r.servers.mean),
+];
+
+/// Plays all values, and writes what was finished even where it was stopped.
+pub fn run(
+    loaded: &Loaded,
+    vary: &Vary,
+    policies: &[PolicyName],
+    seeds: u64,
+    out: &Path,
+) -> Result<ExitCode, String> {
+    let values = vary.values();
+    let scenarios: Vec<Scenario> = values
+        .iter()
+        .map(|value| {
+            let mut scenario =
+                vary.apply(&loaded.text, *value).map_err(|e| format!("{}: {e}", loaded.path.display()))?;
+            scenario.name = format!("{} {}={value:.6}", loaded.scenario.name, vary.path);
+            Ok(scenario)
+        })
+        .collect::<Result<_, String>>()?;
+    if seeds == 0 {
+        return Err("nothing to play, expected one seed at least".into());
+    }
+    files::folder(out)?;
+    let mut trials = Vec::new();
+    for scenario in &scenarios {
+        for seed in 1..=seeds {
+            trials.extend(policies.iter().map(|&policy| Trial { scenario, policy, seed }));
+        }
+    }
+    let jobs = Jobs::begin(trials.len() as u64)?;
+    let notes = jobs.play_all(&trials);
+    jobs.end();
+    files::write(&out.join("runs.csv"), &compare::csv(&notes))?;
+    let title = format!("{}: {} from {} to {}", loaded.scenario.name, vary.path, vary.from, vary.to);
+    let section = section(&title, vary, (&scenarios, &values), policies, &notes)?;
+    println!("{title}, {seeds} seeds, service\n{}", compare::plain_table(&section.head, &section.rows));
+    for ((name, ..), svg) in FIGURES.iter().zip(&section.pictures) {
+        files::write(&out.join(format!("{name}.svg")), svg)?;
+    }
+    files::write(&out.join("report.html"), &pictures::page(&title, &[section]))?;
+    println!("written: {}", out.join("report.html").display());
+    Ok(if jobs.stopped() { ExitCode::from(130) } else { ExitCode::SUCCESS })
+}
+
+fn section(
+    title: &str,
+    vary: &Vary,
+    (scenarios, values): (&[Scenario], &[f64]),
+    policies: &[PolicyName],
+    notes: &[Note],
+) -> Result<Section, String> {
+    let of = |scenario: &Scenario, policy: PolicyName, figure: Figure| {
+        let fits = |n: &&Note| n.report.scenario == scenario.name && n.report.policy == policy.name();
+        mean(&notes.iter().filter(fits).map(|n| figure(&n.report)).collect::<Vec<_>>())
+    };
+    let mut pictures = Vec::new();
+    for (name, axis, figure) in FIGURES {
+        let curve = |policy: &PolicyName| {
+            let points = scenarios.iter().zip(values).map(|(s, x)| (*x, of(s, *policy, figure).value));
+            Curve { name: policy.name().into(), points: points.filter(|p| p.1.is_finite()).collect() }
+        };
+        let curves: Vec<Curve> = policies.iter().map(curve).collect();
+        let title = format!("{title}: {name}");
+        pictures.push(pictures::curves(&title, (&vary.path, axis), &curves, None)?);
+    }
+    let row = |(scenario, value): (&Scenario, &f64)| {
+        let cells = policies.iter().map(|p| of(scenario, *p, FIGURES[0].2).text());
+        [format!("{value:.4}")].into_iter().chain(cells).collect()
+    };
+    Ok(Section {
+        title: title.to_string(),
+        note: "Service, mean and 95 % interval over the seeds.".into(),
+        head: [vary.path.clone()].into_iter().chain(policies.iter().map(|p| p.name().into())).collect(),
+        rows: scenarios.iter().zip(values).map(row).collect(),
+        pictures,
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn ranges_are_read_and_applied() {
+        let text = include_str!("../../../scenarios/zone-loss.toml");
+        let vary: Vary = "clients.rate=100..300:3".parse().expect("sound");
+        assert_eq!(vary.values(), [100.0, 200.0, 300.0]);
+        let rates = vary.values().into_iter().map(|v| vary.apply(text, v).expect("sound").clients.rate);
+        assert_eq!(rates.collect::<Vec<_>>(), [100.0, 200.0, 300.0]);
+        let apply = |vary: &str, value| vary.parse::<Vary>().expect("sound").apply(text, value);
+        assert_eq!(apply("proxies.count=2..4", 3.0).expect("whole").proxies.count, 3);
+        assert_eq!(apply("trouble.0.for_s=2..4", 3.0).expect("in a list").trouble[0].for_s, 3.0);
+        assert_eq!(apply("proxies.most_tries=1..3", 2.0).expect("not in the file").proxies.most_tries, 2);
+        for (vary, told) in [
+            ("clients.speed=1..2", "unknown field `speed`"),
+            ("trouble.7.for_s=1..2", "no such figure"),
+            ("clients.rate=-5..2", "expected 0.001 to 10000000"),
+        ] {
+            let error = apply(vary, vary.parse::<Vary>().expect("sound").from).expect_err(vary);
+            assert!(error.contains(told), "{error}");
+        }
+        for bad in ["rate", "rate=1", "rate=1..x", "=1..2", "rate=1..2:1", "rate=1..nan"] {
+            assert!(bad.parse::<Vary>().expect_err(bad).contains("expected PATH=FROM..TO"), "{bad}");
+        }
+    }
+}
