--- a/crates/emulator/src/judge.rs
+++ b/crates/emulator/src/judge.rs
@@ -13,6 +13,8 @@
 
 /// Breaks kept with their details; all are counted.
 const BREAKS_KEPT: usize = 200;
+/// Columns of pictures over time.
+pub const COLUMNS: usize = 60;
 /// Greatest latency that histograms tell apart, in microseconds.
 const LATENCY_MOST: u64 = 3_600_000_000;
 
@@ -117,6 +119,7 @@
 pub struct Judge {
     origin: Micros,
     warm_until: Micros,
+    length: Micros,
     window: Micros,
     cold: (f64, f64, f64),
     drain_grace: Micros,
@@ -132,6 +135,8 @@
     pub by_proxy: Vec<Worth>,
     /// See `total`.
     pub by_window: Vec<Worth>,
+    /// In sixtieths of the run, for pictures.
+    pub by_column: Vec<Worth>,
     /// Operations.
     pub counts: Counts,
     /// Time from asking to the answer, of all that were answered.
@@ -153,6 +158,7 @@
         Judge {
             origin,
             warm_until: origin + seconds(scenario.warmup_s),
+            length: seconds(scenario.length_s).max(1),
             window,
             cold: (scenario.rules.cold_multiple, scenario.rules.cold_window_s * 1e6, 2.0 * heaviest),
             drain_grace: millis(scenario.rules.drain_grace_ms),
@@ -163,6 +169,7 @@
             by_zone: vec![Worth::default(); scenario.zones.len()],
             by_proxy: vec![Worth::default(); scenario.proxies.count as usize],
             by_window: vec![Worth::default(); windows],
+            by_column: vec![Worth::default(); COLUMNS],
             counts: Counts::default(),
             latency: Histogram::new_with_bounds(1, LATENCY_MOST, 3).expect("sound bounds"),
             breaks: Vec::new(),
@@ -221,7 +228,10 @@
         let served = if in_time { worth } else { 0.0 };
         let window = ((start - self.origin) / self.window) as usize;
         let window = window.min(self.by_window.len() - 1);
+        let column = ((start - self.origin) * COLUMNS as u64 / self.length) as usize;
+        let column = column.min(COLUMNS - 1);
         for place in [
+            &mut self.by_column[column],
             &mut self.total,
             &mut self.by_class[class].0,
             &mut self.by_zone[zone],
--- a/crates/emulator/src/lib.rs
+++ b/crates/emulator/src/lib.rs
@@ -43,10 +43,10 @@
 mod trouble;
 mod world;
 
-pub use judge::{Break, Counts, Rule};
+pub use judge::{Break, COLUMNS, Counts, Rule};
 pub use policy::{Policy, PolicyName, Truth};
 pub use random::{Concern, Stream};
 pub use report::{ClassReport, Latency, Load, Report, ServerReport, Traffic};
 pub use scenario::*;
 pub use server::Tally;
-pub use world::{Builder, COLUMNS, ORIGIN, World, settings};
+pub use world::{Builder, ORIGIN, World, settings};
--- a/crates/emulator/src/policy.rs
+++ b/crates/emulator/src/policy.rs
@@ -101,11 +101,11 @@
     }
 }
 
-/// Half of what may surely be sent to a cold server is left to chance: all proxies together have this many
-/// requests out to one.
-const COLD_TOGETHER: u64 = 6;
-/// Proxies take turns with a cold server, each for so long.
-const COLD_TURN: Micros = 1_000_000;
+/// In the first half of a cold server's time proxies take turns with it, each turn so long and for one request.
+const COLD_TURN: Micros = 250_000;
+/// In the second half so many proxies at a time may send to it, one request out each and so far apart.
+const COLD_TOGETHER: u64 = 3;
+const COLD_GAP: Micros = 50_000;
 /// How often, at most, what found no server is looked at again.
 const LOOK_AGAIN: Micros = 5_000;
 /// Discovery is asked again after this where a call failed.
@@ -128,6 +128,7 @@
     server: Server,
     out: u64,
     credit: f64,
+    sent_at: Micros,
 }
 
 /// A textbook rule with the least that honesty asks for: retries where the class permits, an answer in time,
@@ -193,6 +194,7 @@
                     server: server.clone(),
                     out: 0,
                     credit: 0.0,
+                    sent_at: 0,
                 });
                 known.server = server;
             }
@@ -203,7 +205,7 @@
         self.near = ready.filter(|k| k.server.zone == zone).map(|k| k.server.id).collect();
     }
 
-    /// Guards rule 4: proxies take turns with a cold server, and each has one request out to it.
+    /// Guards rule 4: proxies take turns with a cold server.
     fn spare(&self, now: Micros, known: &Known) -> bool {
         let cold = self.settings.safety.cold;
         let Some(age) = known.server.started.map(|at| now.saturating_sub(at)).filter(|age| *age < cold)
@@ -211,9 +213,14 @@
             return false;
         };
         let _ = age;
+        let age = known.server.started.map_or(cold, |at| now.saturating_sub(at));
         let n = u64::from(self.settings.balancers);
-        let turn = stir([u64::from(self.settings.me), known.server.id.0, now / COLD_TURN, 1]) % n;
-        known.out > 0 || turn >= COLD_TOGETHER
+        let turn = now / COLD_TURN;
+        let rank = stir([known.server.id.0, turn, 1, 1]).wrapping_add(u64::from(self.settings.me)) % n;
+        match age < cold / 2 {
+            true => rank > 0 || known.sent_at / COLD_TURN == turn,
+            false => rank >= COLD_TOGETHER || known.out > 0 || now < known.sent_at + COLD_GAP,
+        }
     }
 
     fn may_go(&self, now: Micros, open: &Open, known: &Known) -> bool {
@@ -309,6 +316,7 @@
             return;
         };
         known.out += 1;
+        known.sent_at = now;
         open.sent.push(Sent { server, zone: known.server.zone, at: now, outcome: None });
         out.push(Action::Send { id, server, timeout: None });
     }
--- a/crates/emulator/src/report.rs
+++ b/crates/emulator/src/report.rs
@@ -44,6 +44,9 @@
     pub peer_bytes: u64,
     /// Attempts that crossed zones.
     pub cross_zone: u64,
+    /// Keyed requests that ran again because a server kept work that had been given up beyond the time for
+    /// which repeats are dropped: nobody's break, and yet a second effect.
+    pub late_repeats: u64,
 }
 
 /// Service and counts of one class.
@@ -98,6 +101,9 @@
     pub by_zone: BTreeMap<String, f64>,
     /// Service by window.
     pub by_window: Vec<f64>,
+    /// Service in sixtieths of the run; none where nothing was asked.
+    #[serde(skip)]
+    pub by_column: Vec<Option<f64>>,
     /// Operations: asked is the sum of the others.
     pub requests: Counts,
     /// How many rules were broken.
@@ -161,6 +167,7 @@
             by_class: by_class.collect(),
             by_zone: zones.collect(),
             by_window: judge.by_window.iter().map(|w| w.share()).collect(),
+            by_column: judge.by_column.iter().map(|w| (w.asked > 0.0).then(|| w.share())).collect(),
             requests: judge.counts,
             breaks: judge.broken,
             rules_broken: judge.breaks.clone(),
--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -3,7 +3,7 @@
 use std::path::Path;
 use std::process::ExitCode;
 
-use ironmast_emulator::{PolicyName, Report, Scenario};
+use ironmast_emulator::{COLUMNS, PolicyName, Report, Scenario};
 
 use crate::files;
 use crate::pictures::{self, Curve};
@@ -200,11 +200,11 @@
 
 fn scenario_pictures(scenario: &Scenario, groups: &[Group]) -> Result<Vec<(String, String)>, String> {
     let name = &scenario.name;
-    let window = scenario.window_s;
     let over_time = |group: &Group| {
-        let windows = group.runs.first().map_or(0, |n| n.report.by_window.len());
-        let at = |w: usize| mean(&group.values(|r| r.by_window[w])).value;
-        let points = (0..windows).map(|w| ((w as f64 + 0.5) * window, at(w))).collect();
+        let column = scenario.length_s / COLUMNS as f64;
+        let at = |c: usize| group.runs.iter().filter_map(|n| n.report.by_column[c]).collect::<Vec<f64>>();
+        let points = (0..COLUMNS).map(|c| ((c as f64 + 0.5) * column, mean(&at(c)).value, at(c).len()));
+        let points = points.filter(|p| p.2 > 0).map(|p| (p.0, p.1)).collect();
         Curve { name: group.policy.name().into(), points }
     };
     let latency = |group: &Group| {
