--- /dev/null
+++ b/crates/balancer/benches/handle.rs
@@ -0,0 +1,140 @@
+//! What `Balancer::handle` costs on one thread, over the number of listed servers in three zones.
+//!
+//! `request`: a request and its answer. `settled`: a failed attempt and what follows. `change`: one server's
+//! entry of the list. `beat`: the timer's regular work. Each with few agents (all servers of a zone take part)
+//! and with 2,000 (each agent keeps to some).
+
+use std::hint::black_box;
+
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+use ironmast_balancer::{
+    Action, Balancer, ClassSettings, Effect, Event, Listing, Micros, Outcome, Phase, Request, Scope, Server,
+    ServerId, Settings, Settled,
+};
+
+const SIZES: [u64; 4] = [10, 100, 1_000, 10_000];
+
+struct Bed {
+    balancer: Balancer,
+    now: Micros,
+    id: u64,
+    out: Vec<Action>,
+    servers: Vec<Server>,
+    timer: Option<(Micros, u64)>,
+}
+
+impl Bed {
+    fn new(servers: u64, balancers: u32) -> Self {
+        let class =
+            |effect| ClassSettings { aim: 400_000, deadline: 800_000, effect, ..ClassSettings::default() };
+        let settings = Settings {
+            balancers,
+            classes: vec![class(Effect::Free), class(Effect::SingleShot)],
+            zones: 3,
+            ..Settings::default()
+        };
+        let server = |n: u64| Server {
+            id: ServerId::from_name(&format!("10.0.{}.{}:80", n / 250, n % 250)),
+            zone: (n % 3) as usize,
+            cell: 0,
+            phase: Phase::Ready,
+            size: 1.0,
+            started: None,
+        };
+        let balancer = Balancer::new(settings, 7).expect("sound settings");
+        let servers: Vec<Server> = (0..servers).map(server).collect();
+        let mut bed = Bed { balancer, now: 1_000_000_000, id: 0, out: Vec::new(), servers, timer: None };
+        let listing = Listing { scope: Scope::Complete, servers: bed.servers.clone() };
+        bed.event(Event::Members(listing));
+        for _ in 0..1_000 {
+            bed.request(Outcome::Ok);
+        }
+        bed
+    }
+
+    fn event(&mut self, event: Event) {
+        self.out.clear();
+        self.balancer.handle(self.now, event, &mut self.out);
+        for action in &self.out {
+            if let Action::Timer { delay, token } = action {
+                self.timer = Some((self.now + delay, *token));
+            }
+        }
+    }
+
+    /// A request 500 us after the last, and its end 5 ms after it was sent; timers fire in between.
+    fn request(&mut self, outcome: Outcome) {
+        self.now += 500;
+        if let Some((_, token)) = self.timer.filter(|(at, _)| *at <= self.now) {
+            self.event(Event::Timer { token });
+        }
+        self.id += 1;
+        let id = self.id;
+        self.event(Event::Request(Request {
+            id,
+            class: (id % 2) as usize,
+            tenant: None,
+            key: None,
+            work_hint: None,
+            client_retry: false,
+            expires: self.now + 800_000,
+        }));
+        let sent = self.out.iter().find_map(|a| match a {
+            Action::Send { server, .. } => Some(*server),
+            _ => None,
+        });
+        if let Some(server) = sent {
+            let (finished, load) = (outcome == Outcome::Ok, None);
+            let settled = Settled { id, server, attempt: 0, outcome, latency: 5_000, finished, load };
+            self.event(Event::Settled(settled));
+            if !finished {
+                self.event(Event::HungUp { id });
+            }
+        }
+    }
+
+    fn beat(&mut self) {
+        self.now += 40_000;
+        self.event(Event::Timer { token: 0 });
+    }
+
+    fn change(&mut self, n: usize) {
+        let mut server = self.servers[n % self.servers.len()].clone();
+        self.now += 500;
+        server.phase = if n / self.servers.len() % 2 == 0 { Phase::Draining } else { Phase::Ready };
+        self.event(Event::Members(Listing { scope: Scope::Changes, servers: vec![server] }));
+    }
+}
+
+fn handle(c: &mut Criterion) {
+    for agents in [1, 2_000] {
+        let mut group = c.benchmark_group(format!("agents-{agents}"));
+        for size in SIZES {
+            let mut bed = Bed::new(size, agents);
+            group.bench_function(BenchmarkId::new("request", size), |b| {
+                b.iter(|| black_box(&mut bed).request(Outcome::Ok));
+            });
+            group.bench_function(BenchmarkId::new("settled", size), |b| {
+                b.iter(|| black_box(&mut bed).request(Outcome::Error));
+            });
+            let mut bed = Bed::new(size, agents);
+            group.bench_function(BenchmarkId::new("beat", size), |b| b.iter(|| black_box(&mut bed).beat()));
+            let mut n = 0;
+            group.bench_function(BenchmarkId::new("change", size), |b| {
+                b.iter(|| {
+                    black_box(&mut bed).change(n);
+                    n += 1;
+                });
+            });
+        }
+        group.finish();
+    }
+}
+
+criterion_group! {
+    name = benches;
+    config = Criterion::default().sample_size(10).warm_up_time(std::time::Duration::from_millis(200))
+        .measurement_time(std::time::Duration::from_millis(800)).without_plots();
+    targets = handle
+}
+criterion_main!(benches);
--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -348,6 +348,12 @@
     pub fn never_ran(self) -> bool {
         matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
     }
+
+    /// True where the outcome tells of the server's load: it is an answer, or none came.
+    pub fn tells_load(self) -> bool {
+        use Outcome::{ConnectFailed, Error, Full, Ok, Timeout};
+        matches!(self, Ok | Error | Full | Timeout | ConnectFailed)
+    }
 }
 
 /// A server's own account of its load; any value may be missing.
--- a/crates/balancer/src/balance.rs
+++ b/crates/balancer/src/balance.rs
@@ -1,12 +1,13 @@
-//! All decisions of the balancer. Its interface (settings, events, actions) is `api.rs`; `state.rs`
-//! holds plain records. Order: membership, usability (health, limits, cold starts), candidate set (the zone
-//! test of KEP-4444 PreferClose), even draw, attempts, refusals. One request runs through `request`, `place`,
-//! `candidates`, `draw`; its attempts end in `settled`.
+//! All decisions of the balancer. Its interface (settings, events, actions) is `api.rs`; `state.rs` holds plain
+//! records, `fleet.rs` what is asked of all servers at once. Order: membership, usability (health, limits, cold
+//! starts), candidate set (the zone test of KEP-4444 PreferClose), even draw, attempts, refusals. One request
+//! runs through `request`, `place`, `candidates`, `draw`; its attempts end in `settled`.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::api::*;
+use crate::fleet::Fleet;
 use crate::state::{Attempt, Mute, Node, Open, Rng, Turn, Usual, follow, mix, unit};
 
 /// Beats in the shortest aim: how often measurements fade and cold servers are granted requests.
@@ -33,13 +34,15 @@
 const COLD_LEAST: f64 = 4.0;
 /// An agent keeps to as many servers as it has requests in this time, two at least: each is heard of often
 /// enough to be judged, and connections stay few. Others after a while: each agent, too, is even in the end.
-const SUBSET_SPAN: f64 = 250_000.0;
-const SUBSET_LEAST: f64 = 2.0;
+const SUBSET: (f64, f64) = (250_000.0, 2.0);
 const SUBSET_TURN: Micros = 60_000_000;
+/// Of a side with more servers than that, each request looks at so many only, others each time: a round is
+/// even, and no request costs more for a larger fleet.
+const WIDE: usize = 48;
+const LOOKS: usize = 16;
 /// One attempt's part in a server's average slowness, and how far that trims its share, against the others'.
 const LAG_PACE: f64 = 0.5;
-const TRIM_SLOPE: f64 = 1.5;
-const TRIM_LEAST: f64 = 0.1;
+const TRIM: (f64, f64) = (1.5, 0.1);
 /// How far a server may run behind or ahead of its even share, in requests.
 const CREDIT_MOST: f64 = 10.0;
 /// Average of failures that sets a server aside, and how far softer ones must stand out from the peers'.
@@ -50,11 +53,9 @@
 /// First and longest time aside before a trial request; doubled at each failed trial.
 const ASIDE: (Micros, Micros) = (1_000_000, 8_000_000);
 /// Second attempts of what may have run, for each request taken: at least, and more for how much more often
-/// copies win than pays for their work (agents start hopeful: they learn it slowly); and most saved up.
-const BUDGET_LEAST: f64 = 0.03;
-const BUDGET_WON: f64 = 2.0;
-const WON_FROM: f64 = 0.3;
-const WON_FIRST: f64 = 0.4;
+/// copies win than pays for their work (the other pair; agents start hopeful); and most saved up.
+const BUDGET: (f64, f64) = (0.03, 2.0);
+const WON: (f64, f64) = (0.3, 0.4);
 const BUDGET_MOST: f64 = 20.0;
 /// Discovery is asked again after `ask_within` over these: at first, and at the longest.
 const ASK_AGAIN: (u64, u64) = (16, 2);
@@ -64,7 +65,7 @@
     settings: Settings,
     rng: Rng,
     now: Micros,
-    nodes: BTreeMap<ServerId, Node>,
+    fleet: Fleet,
     open: BTreeMap<RequestId, Open>,
     /// When requests are to be looked at, and the timer that is out.
     due: BTreeSet<(Micros, RequestId)>,
@@ -75,9 +76,10 @@
     mean_size: f64,
     beat: Micros,
     next_beat: Micros,
-    /// Arrivals, fading over `RATE_MEMORY`, and the salt of this agent's subset.
+    /// Arrivals, fading over `RATE_MEMORY`, the salt of this agent's subset, and where its round has come to.
     arrivals: f64,
     salt: u64,
+    round: usize,
     /// Requests that wait for room, most worth first, then newest.
     held: BTreeSet<Turn>,
     /// Second attempts saved up, and how often copies won of late.
@@ -97,7 +99,7 @@
         Ok(Balancer {
             rng: Rng(seed),
             now: 0,
-            nodes: BTreeMap::new(),
+            fleet: Fleet::new(settings.zone, settings.classes.len()),
             open: BTreeMap::new(),
             due: BTreeSet::new(),
             armed: None,
@@ -108,9 +110,10 @@
             next_beat: 0,
             arrivals: 0.0,
             salt: mix(seed),
+            round: 0,
             held: BTreeSet::new(),
             budget: 0.0,
-            won: WON_FIRST,
+            won: WON.1,
             ask_at: (settings.discovery == Discovery::Subscribed).then_some(0),
             ask_wait: settings.safety.ask_within / ASK_AGAIN.0,
             settings,
@@ -120,6 +123,7 @@
     /// Takes one event at clock reading `now` and appends what is to be done.
     pub fn handle(&mut self, now: Micros, event: Event, out: &mut Vec<Action>) {
         self.now = self.now.max(now.min(Micros::MAX / 4));
+        self.fleet.turn(self.salt ^ mix((self.now + self.salt % SUBSET_TURN) / SUBSET_TURN));
         match event {
             Event::Request(request) => self.request(request, out),
             Event::Settled(settled) => self.settled(settled, out),
@@ -165,8 +169,6 @@
         }
     }
 
-    // ---- Membership -------------------------------------------------------------------------------------
-
     fn members(&mut self, listing: Listing, out: &mut Vec<Action>) {
         let within = self.settings.safety.ask_within;
         if listing.scope == Scope::Failed {
@@ -179,29 +181,24 @@
             (self.ask_at, self.ask_wait) = (None, within / ASK_AGAIN.0);
         }
         if listing.scope != Scope::Changes {
-            let listed: BTreeSet<ServerId> = listing.servers.iter().map(|s| s.id).collect();
-            self.nodes.retain(|id, _| listed.contains(id));
+            self.fleet.keep(&listing.servers.iter().map(|s| s.id).collect());
         }
         for server in listing.servers {
-            match self.nodes.get_mut(&server.id) {
+            match self.fleet.get(server.id) {
                 // Guards rule 3: who is gone is forgotten, and who drains is never a candidate, from now on.
-                _ if server.phase == Phase::Gone => drop(self.nodes.remove(&server.id)),
+                _ if server.phase == Phase::Gone => self.fleet.remove(server.id),
                 // The same process as before keeps what is known of it; a restarted one starts anew.
-                Some(node) if node.server.started == server.started => node.server = server,
+                Some(node) if node.server.started == server.started => self.fleet.update(server),
                 _ => {
                     let mine = 1.0 / f64::from(self.settings.balancers);
-                    let node = Node::new(server, self.rng.unit(), LIMIT_FIRST * mine, mine, self.now);
-                    self.nodes.insert(node.server.id, node);
+                    self.fleet.insert(Node::new(server, self.rng.unit(), LIMIT_FIRST * mine, mine, self.now));
                 }
             }
         }
-        let sizes: Vec<f64> = self.nodes.values().map(|n| n.server.size).filter(|s| *s > 0.0).collect();
-        self.mean_size = sizes.iter().sum::<f64>() / sizes.len().max(1) as f64;
-        out.extend(self.nodes.is_empty().then(|| Action::Log("no server is listed".into())));
+        self.mean_size = self.fleet.mean_size();
+        out.extend((self.fleet.len() == 0).then(|| Action::Log("no server is listed".into())));
     }
 
-    // ---- Usability: health and cold starts --------------------------------------------------------------
-
     /// Part of its capacity that a server surely has: grows evenly from `cold_share` after a start.
     fn warmth(&self, node: &Node) -> f64 {
         let (first, over) = (self.settings.safety.cold_share, self.settings.safety.cold.max(1) as f64);
@@ -215,14 +212,22 @@
         if told { (node.server.size / self.mean_size).clamp(0.2, 5.0) } else { 1.0 }
     }
 
-    /// Those that one of many agents keeps to, by an order of its own; all, where keys decide or first limits
-    /// allow one at each. Before room is asked for: guards against full servers that send agents on to all.
-    fn few<'a>(&self, mut nodes: Vec<&'a Node>) -> Vec<&'a Node> {
-        let few = (self.arrivals / RATE_MEMORY * SUBSET_SPAN).max(SUBSET_LEAST) as usize;
-        if !self.settings.warm_keys && f64::from(self.settings.balancers) > LIMIT_FIRST && nodes.len() > few {
-            let turn = self.salt ^ mix((self.now + self.salt % SUBSET_TURN) / SUBSET_TURN);
-            nodes.sort_by_cached_key(|n| mix(turn ^ n.server.id.0));
-            nodes.truncate(few);
+    /// Those that one of many agents keeps to, by an order of its own, before room is asked for: guards
+    /// against full servers that send agents on to all. Of very many, some with room; else all of a side.
+    fn some(&self, own: bool, fits: impl Fn(&&Node) -> bool, room: impl Fn(&&Node) -> bool) -> Vec<&Node> {
+        let few = (self.arrivals / RATE_MEMORY * SUBSET.0).max(SUBSET.1) as usize;
+        if self.settings.warm_keys || f64::from(self.settings.balancers) <= LIMIT_FIRST {
+            if self.settings.warm_keys || self.fleet.side(own).len() <= WIDE {
+                return self.fleet.side(own).filter(fits).collect();
+            }
+            let looked = self.fleet.ring(own, self.round).filter(fits).take(LOOKS);
+            let (near, full): (Vec<&Node>, Vec<&Node>) = looked.partition(room);
+            return if near.is_empty() { full } else { near };
+        }
+        let mut nodes: Vec<&Node> = self.fleet.ring(own, 0).filter(fits).take(few + 1).collect();
+        match nodes.len() > few {
+            true => nodes.truncate(few),
+            false => nodes.sort_by_key(|n| n.server.id),
         }
         nodes
     }
@@ -231,19 +236,17 @@
     /// where agents are so many that even first ones leave each less than one: what is known counts for all.
     /// Who keeps silent on the class is none of it: its idle limit would keep the others' from growing.
     fn zone_load(&self, own: bool, class: ClassId) -> (f64, f64) {
-        let here = |n: &&Node| {
-            let ready = n.server.phase == Phase::Ready && self.heard(n, class);
-            ready && (n.server.zone == self.settings.zone) == own
-        };
-        let (aside, mut fit): (Vec<&Node>, Vec<&Node>) =
-            self.nodes.values().filter(here).partition(|n| n.aside.is_some());
-        let (mut count, all) = (fit.len() as f64, (fit.len() + aside.len()) as f64);
-        if all * LIMIT_FIRST < f64::from(self.settings.balancers) || fit.is_empty() {
-            (count, fit) = (all, self.few(fit));
-            fit.extend(aside);
-        }
-        let out = self.nodes.values().filter(here).map(|n| f64::from(n.out)).sum();
-        (out, fit.iter().map(|n| n.limit).sum::<f64>() * count / fit.len().max(1) as f64)
+        let here = |n: &&Node| (n.server.zone == self.settings.zone) == own && !self.heard(n, class);
+        let load =
+            self.fleet.silent(class).filter(here).fold(self.fleet.load(own), |load, n| load.without(n));
+        let (out, all) = (load.out as f64, (load.fit + load.aside) as f64);
+        if load.fit > 0 && all * LIMIT_FIRST >= f64::from(self.settings.balancers) {
+            return (out, load.fit_limit.value());
+        }
+        let known = |n: &&Node| n.aside.is_none() && self.heard(n, class);
+        let few = if load.fit > 0 { self.some(own, known, |_| true) } else { Vec::new() };
+        let limits = few.iter().map(|n| n.limit).sum::<f64>() + load.aside_limit.value();
+        (out, limits * all / (few.len() + load.aside).max(1) as f64)
     }
 
     /// Whether it may be sent a class: it answers that, or a trial is due.
@@ -264,19 +267,22 @@
     fn refill_cold(&mut self) {
         let (multiple, fall) = (self.settings.safety.fall_multiple, self.settings.safety.fall as f64);
         let least = COLD_LEAST / f64::from(self.settings.balancers) / fall;
-        let mut rates = Vec::new();
+        self.fleet.warm_up(self.now, self.settings.safety.cold);
         let due = |n: &&Node| n.cold_at <= self.now && self.warmth(n) < 1.0;
-        for node in self.nodes.values().filter(due) {
-            let peer = |n: &&Node| n.server.zone == node.server.zone && self.warmth(n) >= 1.0;
-            let peers: Vec<f64> = self.nodes.values().filter(peer).map(|n| n.oks / self.size(n)).collect();
-            let mean = peers.iter().sum::<f64>() / peers.len().max(1) as f64;
+        let due: Vec<ServerId> = self.fleet.cold().filter(due).map(|n| n.server.id).collect();
+        let mut means = BTreeMap::new();
+        for id in due {
+            let Some(node) = self.fleet.get(id) else { continue };
+            let mean = *means.entry(node.server.zone).or_insert_with_key(|zone| {
+                let warm = self.fleet.awake().filter(|n| n.server.zone == *zone && self.warmth(n) >= 1.0);
+                let cold = self.fleet.cold().filter(|n| n.server.zone == *zone).count();
+                let peers = (self.fleet.zone(*zone).count - cold).max(1) as f64;
+                warm.map(|n| n.oks / self.size(n)).sum::<f64>() / peers
+            });
             let carried = (mean * self.warmth(node) * self.size(node)).max(node.oks);
-            rates.push((node.server.id, multiple / 2.0 * carried / RATE_MEMORY + least));
-        }
-        for (id, rate) in rates {
-            let chance = self.rng.unit();
-            let Some(node) = self.nodes.get_mut(&id) else { continue };
-            let window = (1.0 / rate).clamp(self.beat as f64, fall);
+            let rate = multiple / 2.0 * carried / RATE_MEMORY + least;
+            let (window, chance) = ((1.0 / rate).clamp(self.beat as f64, fall), self.rng.unit());
+            let Some(node) = self.fleet.touch(id) else { continue };
             let saved = node.cold_left.min(rate * fall / 2.0 - 1.0).max(0.0);
             node.cold_left = (saved + rate * window + chance).floor();
             node.cold_chance = (rate * window).min(1.0);
@@ -287,82 +293,81 @@
     /// Judges a server by the end of an attempt.
     fn note(&mut self, e: &Settled, class: Option<ClassId>, sent: Option<Micros>, out: &mut Vec<Action>) {
         let (now, agents) = (self.now, f64::from(self.settings.balancers));
-        let Some(zone) = self.nodes.get(&e.server).map(|n| n.server.zone) else { return };
+        // Guards a restarted server against being judged by what its predecessor did.
+        let this_life = |n: &&Node| sent.is_none_or(|at| at >= n.since);
+        let Some(known) = self.fleet.get(e.server).filter(this_life) else { return };
+        let (zone, others) = (known.server.zone, self.fleet.zone(known.server.zone).without(known));
         let own = zone == self.settings.zone;
         let (out_there, room_there) = class.map_or((0.0, 0.0), |class| self.zone_load(own, class));
-        let (mut failing, mut asides, mut count) = (0.0, 0, 0);
-        for n in self.nodes.values().filter(|n| n.server.zone == zone && n.server.id != e.server) {
-            (failing, asides, count) = (failing + n.failing, asides + n.aside.iter().count(), count + 1);
-        }
         // At most half of a zone: guards a crowded one against being emptied server by server.
-        let most = 2 * (asides + 1) > count + 1;
-        // Guards a restarted server against being judged by what its predecessor did.
-        let this_life = |n: &&mut Node| sent.is_none_or(|at| at >= n.since);
-        let Some(node) = self.nodes.get_mut(&e.server).filter(this_life) else { return };
-        node.out = node.out.saturating_sub(1);
-        node.idle_since = Some(now);
+        let most = 2 * (others.asides + 1) > others.count + 1;
         // Guards against slow servers that never show: who called off beyond the usual had waited too long.
         let overdue = class.zip(sent).is_some_and(|(c, at)| (now - at) as f64 > self.usual[c].high);
-        // Guards good servers' shares and limits: what is no answer, or our doing, tells nothing of load.
-        let told = matches!(e.outcome, Outcome::Ok | Outcome::Error | Outcome::Full)
-            || matches!(e.outcome, Outcome::Timeout | Outcome::ConnectFailed);
-        if told || overdue {
-            node.lag += LAG_PACE * (f64::from(u8::from(overdue || e.outcome != Outcome::Ok)) - node.lag);
-        }
-        // "Full" is load, not ill health; a cancelled or moot attempt is our own doing.
-        let (failed, pace) = match e.outcome {
-            Outcome::Ok => (0.0, 0.25),
-            Outcome::Error | Outcome::Timeout => (1.0, 0.25),
-            // Twice in a row, whatever else broke of late: guards good servers against one lost connection.
-            Outcome::ConnectFailed => (1.0, 0.3),
-            // Guards good servers against answers spoilt or broken off, a matter of one connection: a dead
-            // server refuses the next.
-            Outcome::Reset | Outcome::Spoilt => (1.0, 0.1),
-            Outcome::Full | Outcome::Cancelled | Outcome::Moot | Outcome::Rejected => (0.0, 0.0),
-        };
-        node.failing += pace * (failed - node.failing);
-        if e.outcome == Outcome::Ok {
-            node.oks += 1.0;
-            // Guards a server that is well again against the long rests of its past.
-            node.backoff = if node.failing < 0.05 && node.aside.is_none() { 0 } else { node.backoff };
-            // Failures are ended by an answer to a later send.
-            if node.aside.is_some_and(|(since, _)| sent.is_some_and(|at| at >= since)) {
-                (node.aside, node.failing, node.backoff) = (None, 0.0, 0);
+        let told = self.fleet.change(e.server, |node| {
+            node.out = node.out.saturating_sub(1);
+            node.idle_since = Some(now);
+            // Guards good servers' shares and limits: what is no answer, or our doing, tells nothing of load.
+            let told = e.outcome.tells_load();
+            if told || overdue {
+                node.lag += LAG_PACE * (f64::from(u8::from(overdue || e.outcome != Outcome::Ok)) - node.lag);
             }
-        }
-        // Failures of the whole zone alike are its load, not a sick server; broken connections are plain.
-        let above = node.failing - failing / count.max(1) as f64 >= EJECT_ABOVE_PEERS;
-        let stands_out = pace > 0.25 || above && !most;
-        let due = node.aside.is_none_or(|(_, until)| until <= now);
-        if failed > 0.0 && node.failing >= EJECT_AT && stands_out && due {
-            node.backoff = (node.backoff * 2).clamp(ASIDE.0, ASIDE.1);
-            node.aside = Some((now, now + node.backoff));
-            out.push(Action::Log(format!("server {:016x} set aside: it fails", node.server.id.0)));
-        }
-        let Some(class) = class.filter(|_| told) else { return };
-        // Limits are split evenly, unless reports tell how much of the server's load is this agent's own.
-        let held = f64::from(node.out + 1);
-        if let Some(active) = e.load.and_then(|load| load.active) {
-            node.mine += MINE_PACE * ((held / active.max(held)).max(1.0 / agents) - node.mine);
-        }
-        let aim = self.settings.classes[class].aim as f64;
-        // Guards other zones' servers against pain that is only the way there: its time, as the quickest
-        // answer tells it, is not load. Else their limits stay at the least and the fleet is no way out.
-        node.quickest = node.quickest.min(e.latency);
-        let way = if own { 0.0 } else { (node.quickest as f64).min(WAY_MOST * aim) };
-        let part = if e.outcome == Outcome::Ok { (e.latency as f64 - way) / aim } else { 1.0 };
-        let hurt = ((part - PAIN_FROM) / (1.0 - PAIN_FROM)).clamp(0.0, 1.0);
-        if hurt > 0.0 {
-            node.limit = (node.limit - hurt * node.limit.min(1.0)).max(1.0 / agents);
-            node.hurt = true;
-        } else if 2.0 * out_there >= room_there {
-            let up = if node.hurt { LIMIT_UP / node.limit.max(1.0) } else { LIMIT_FIRST };
-            node.limit += (up * node.mine).min(1.0);
-        }
-        if e.outcome == Outcome::Full {
-            // Guards against black holes: who refuses at once always has room, and would be sent ever more.
-            node.full_until = now + self.usual[class].median as Micros;
-        }
+            // "Full" is load, not ill health; a cancelled or moot attempt is our own doing.
+            let (failed, pace) = match e.outcome {
+                Outcome::Ok => (0.0, 0.25),
+                Outcome::Error | Outcome::Timeout => (1.0, 0.25),
+                // Twice in a row, whatever else broke: guards good servers against one lost connection.
+                Outcome::ConnectFailed => (1.0, 0.3),
+                // Guards good servers against one spoilt or broken answer: a dead one refuses the next.
+                Outcome::Reset | Outcome::Spoilt => (1.0, 0.1),
+                Outcome::Full | Outcome::Cancelled | Outcome::Moot | Outcome::Rejected => (0.0, 0.0),
+            };
+            node.failing += pace * (failed - node.failing);
+            if e.outcome == Outcome::Ok {
+                node.oks += 1.0;
+                // Guards a server that is well again against the long rests of its past.
+                node.backoff = if node.failing < 0.05 && node.aside.is_none() { 0 } else { node.backoff };
+                // Failures are ended by an answer to a later send.
+                if node.aside.is_some_and(|(since, _)| sent.is_some_and(|at| at >= since)) {
+                    (node.aside, node.failing, node.backoff) = (None, 0.0, 0);
+                }
+            }
+            // Failures of the whole zone alike are its load, not a sick server; broken connections are plain.
+            let above =
+                node.failing - others.failing.value() / others.count.max(1) as f64 >= EJECT_ABOVE_PEERS;
+            let stands_out = pace > 0.25 || above && !most;
+            let due = node.aside.is_none_or(|(_, until)| until <= now);
+            if failed > 0.0 && node.failing >= EJECT_AT && stands_out && due {
+                node.backoff = (node.backoff * 2).clamp(ASIDE.0, ASIDE.1);
+                node.aside = Some((now, now + node.backoff));
+                out.push(Action::Log(format!("server {:016x} set aside: it fails", node.server.id.0)));
+            }
+            let class = class.filter(|_| told)?;
+            // Limits are split evenly, unless reports tell how much of the server's load is this agent's own.
+            let held = f64::from(node.out + 1);
+            if let Some(active) = e.load.and_then(|load| load.active) {
+                node.mine += MINE_PACE * ((held / active.max(held)).max(1.0 / agents) - node.mine);
+            }
+            // Guards other zones' servers against pain that is only the way there: its time, as the quickest
+            // answer tells it, is not load. Else their limits stay at the least and the fleet is no way out.
+            node.quickest = node.quickest.min(e.latency);
+            let aim = self.settings.classes[class].aim as f64;
+            let way = if own { 0.0 } else { (node.quickest as f64).min(WAY_MOST * aim) };
+            let part = if e.outcome == Outcome::Ok { (e.latency as f64 - way) / aim } else { 1.0 };
+            let hurt = ((part - PAIN_FROM) / (1.0 - PAIN_FROM)).clamp(0.0, 1.0);
+            if hurt > 0.0 {
+                node.limit = (node.limit - hurt * node.limit.min(1.0)).max(1.0 / agents);
+                node.hurt = true;
+            } else if 2.0 * out_there >= room_there {
+                let up = if node.hurt { LIMIT_UP / node.limit.max(1.0) } else { LIMIT_FIRST };
+                node.limit += (up * node.mine).min(1.0);
+            }
+            if e.outcome == Outcome::Full {
+                // Guards against black holes: who refuses at once always has room, and is sent ever more.
+                node.full_until = now + self.usual[class].median as Micros;
+            }
+            Some(class)
+        });
+        let Some(class) = told.flatten() else { return };
         let room = self.zone_load(own, class).1;
         if room < 1.0 {
             let took = if e.outcome == Outcome::Ok { e.latency as f64 } else { self.usual[class].median };
@@ -384,69 +389,67 @@
             Outcome::Cancelled | Outcome::Timeout if late => true,
             _ => return,
         };
-        let peers = self.nodes.values().filter(|n| n.server.id != e.server);
-        let usual = peers.filter_map(|n| n.mute.get(&class)).map(|m| m.failing).sum::<f64>();
-        let usual = usual / (self.nodes.len() as f64 - 1.0).max(1.0);
-        let Some(node) = self.nodes.get_mut(&e.server).filter(|n| at >= n.since) else { return };
-        let known = node.mute.contains_key(&class);
-        let mute = node.mute.entry(class).or_default();
-        if at < mute.since || !known && !silent {
+        let Some(node) = self.fleet.get(e.server).filter(|n| at >= n.since) else { return };
+        let known = node.mute.get(&class);
+        if at < known.map_or(0, |m| m.since) || known.is_none() && !silent {
             return; // it was sent before the class was left out, or all is well
         }
-        mute.failing += MUTE_PACE * (f64::from(u8::from(silent)) - mute.failing);
-        if silent && mute.failing >= EJECT_AT && mute.failing - usual >= EJECT_ABOVE_PEERS {
-            mute.backoff = (mute.backoff * 2).clamp(ASIDE.0, ASIDE.1);
-            (mute.since, mute.until) = (self.now, self.now + mute.backoff);
-            let what = format!("server {:016x} keeps silent on class {class}", node.server.id.0);
-            out.push(Action::Log(what));
-        } else if !silent && mute.since > 0 {
-            *mute = Mute::default();
-        }
+        let usual = self.fleet.hush(class).without(known.map_or(0.0, |m| m.failing));
+        let usual = usual / (self.fleet.len() as f64 - 1.0).max(1.0);
+        self.fleet.change_mute(e.server, class, |mute| {
+            mute.failing += MUTE_PACE * (f64::from(u8::from(silent)) - mute.failing);
+            if silent && mute.failing >= EJECT_AT && mute.failing - usual >= EJECT_ABOVE_PEERS {
+                mute.backoff = (mute.backoff * 2).clamp(ASIDE.0, ASIDE.1);
+                (mute.since, mute.until) = (self.now, self.now + mute.backoff);
+                out.push(Action::Log(format!("server {:016x} keeps silent on class {class}", e.server.0)));
+            } else if !silent && mute.since > 0 {
+                *mute = Mute::default();
+            }
+        });
     }
 
     /// A server set aside answered its trial probe, or did not: it is back in use, or rests for longer.
     fn probed(&mut self, server: ServerId, outcome: Outcome) {
-        let Some(node) = self.nodes.get_mut(&server) else { return };
-        let Some((since, _)) = node.aside else { return };
-        if outcome == Outcome::Ok {
-            (node.aside, node.failing) = (None, 0.0);
-        } else {
-            node.backoff = (node.backoff * 2).clamp(ASIDE.0, ASIDE.1);
-            node.aside = Some((since, self.now + node.backoff));
-        }
+        self.fleet.change(server, |node| {
+            let Some((since, _)) = node.aside else { return };
+            if outcome == Outcome::Ok {
+                (node.aside, node.failing) = (None, 0.0);
+            } else {
+                node.backoff = (node.backoff * 2).clamp(ASIDE.0, ASIDE.1);
+                node.aside = Some((since, self.now + node.backoff));
+            }
+        });
     }
 
     /// Lets measurements fade and cold servers have their due.
     fn beat(&mut self, out: &mut Vec<Action>) {
         let kept = |memory: f64| 1.0 - self.beat as f64 / memory;
-        let probes = self.settings.limits.probes;
         self.arrivals *= kept(RATE_MEMORY);
-        for node in self.nodes.values_mut() {
-            (node.lag, node.oks) = (node.lag * kept(LAG_MEMORY), node.oks * kept(RATE_MEMORY));
+        let (now, faded) = (self.now, (kept(LAG_MEMORY), kept(RATE_MEMORY)));
+        self.fleet.look_after(|node| {
+            (node.lag, node.oks) = (node.lag * faded.0, node.oks * faded.1);
             // Guards the servers' connection tables against many agents' idle ones.
-            if node.out == 0 && node.idle_since.is_some_and(|at| (self.now - at) as f64 > RATE_MEMORY) {
+            if node.out == 0 && node.idle_since.is_some_and(|at| (now - at) as f64 > RATE_MEMORY) {
                 node.idle_since = None;
                 out.push(Action::CloseIdle { server: node.server.id });
             }
             // Guards against servers set aside for good where no class may be repeated at will: a probe is
             // the trial, and costs no request.
-            let ready = probes && node.server.phase == Phase::Ready;
-            if let Some((_, until)) = node.aside.as_mut().filter(|(_, until)| ready && *until <= self.now) {
-                *until = self.now + node.backoff;
+            let ready = self.settings.limits.probes && node.server.phase == Phase::Ready;
+            if let Some((_, until)) = node.aside.as_mut().filter(|(_, until)| ready && *until <= now) {
+                *until = now + node.backoff;
                 out.push(Action::Probe { server: node.server.id });
             }
-        }
+        });
         self.refill_cold();
     }
 
-    // ---- Candidate set: the zone test -------------------------------------------------------------------
-
     /// PreferClose: the usable servers of the own zone; if there are none, those of the whole fleet. If
     /// health leaves none at all, health is ignored. Servers at their limit count as usable until the request
     /// has waited as long as crossing zones is worth; then the zone test passes over them (spillover).
     fn candidates(&self, open: &Open) -> Vec<ServerId> {
-        let free = self.settings.classes[open.request.class].effect == Effect::Free;
-        let free = free && !self.settings.limits.probes;
+        let effect = self.settings.classes[open.request.class].effect;
+        let free = effect == Effect::Free && !self.settings.limits.probes;
         // Guards against many agents that each send a server one request at a time and bury it together.
         let zones = [false, true].map(|own| {
             let (out, limit) = self.zone_load(own, open.request.class);
@@ -459,14 +462,14 @@
                 // probes are allowed, `beat` makes it.
                 let trial = free && self.rest[usize::from(own)] <= self.now;
                 let fits = |n: &&Node| {
-                    n.server.phase == Phase::Ready
-                        && (n.server.zone == self.settings.zone) == own
-                        && (!health || n.aside.is_none_or(|(_, until)| trial && until <= self.now))
+                    (!health || n.aside.is_none_or(|(_, until)| trial && until <= self.now))
                         && (!health || self.heard(n, open.request.class))
                         && (again || open.attempts.iter().all(|a| a.server != n.server.id))
                         && self.allowed(open, n)
                 };
-                self.few(self.nodes.values().filter(fits).collect())
+                // The first test spares the look at each of a side that is set aside as a whole.
+                let none = health && !trial && self.fleet.load(own).fit == 0;
+                if none { Vec::new() } else { self.some(own, fits, room) }
             };
             let mut set = fit(true);
             if set.is_empty() || open.spill_at <= self.now && !set.iter().any(room) {
@@ -493,15 +496,13 @@
         alone && open.attempts.iter().filter(|a| a.may_have_run()).all(harmless)
     }
 
-    // ---- Even draw --------------------------------------------------------------------------------------
-
     /// A shuffled round: every draw credits each server its even share and takes one from the server chosen.
     /// With warm keys the key's rendezvous order chooses, among those not beyond their bound.
     fn draw(&mut self, set: Vec<ServerId>, key: Option<u64>) -> Option<ServerId> {
         let key = key.filter(|_| self.settings.warm_keys);
-        let members = || set.iter().filter_map(|id| self.nodes.get(id));
+        let members = || set.iter().filter_map(|id| self.fleet.get(*id));
         let usual = members().map(|n| n.lag).sum::<f64>() / set.len().max(1) as f64;
-        let trim = |n: &Node| (1.0 - TRIM_SLOPE * (n.lag - usual)).clamp(TRIM_LEAST, 1.0);
+        let trim = |n: &Node| (1.0 - TRIM.0 * (n.lag - usual)).clamp(TRIM.1, 1.0);
         let warm = |n: &Node| (self.warmth(n) / n.cold_chance).min(1.0);
         let shares: Vec<(f64, f64)> =
             members().map(|n| (self.size(n) * warm(n) * trim(n), self.size(n))).collect();
@@ -509,7 +510,7 @@
         let rate = if key.is_some() { 1.0 + HASH_BOUND } else { 1.0 };
         let (mut chosen, mut best) = (None, (false, f64::NEG_INFINITY));
         for (id, (weight, size)) in set.iter().zip(shares) {
-            let Some(node) = self.nodes.get_mut(id) else { continue };
+            let Some(node) = self.fleet.touch(*id) else { continue };
             node.credit = (node.credit + rate * weight / total).clamp(-CREDIT_MOST, CREDIT_MOST);
             let rank = match key.filter(|_| node.credit > 0.0) {
                 Some(key) => (true, -size / unit(mix(key ^ mix(id.0))).max(f64::MIN_POSITIVE).ln()),
@@ -519,21 +520,18 @@
                 (chosen, best) = (Some(*id), rank);
             }
         }
-        if let Some(node) = chosen.and_then(|id| self.nodes.get_mut(&id)) {
-            node.credit -= 1.0;
-        }
+        let _ = chosen.and_then(|id| self.fleet.touch(id)).map(|node| node.credit -= 1.0);
+        self.round = self.round.wrapping_add(if chosen.is_some() { 1 } else { LOOKS });
         chosen
     }
 
-    // ---- Attempts ---------------------------------------------------------------------------------------
-
     fn request(&mut self, request: Request, out: &mut Vec<Action>) {
         let id = request.id;
         if request.class >= self.usual.len() || request.expires <= self.now {
             return out.push(self.refuse(id, request.class));
         }
         self.arrivals += 1.0;
-        let earned = BUDGET_LEAST + BUDGET_WON * (self.won - WON_FROM).max(0.0);
+        let earned = BUDGET.0 + BUDGET.1 * (self.won - WON.0).max(0.0);
         self.budget = (self.budget + earned).min(BUDGET_MOST);
         // Guards rule 1: whatever happens, the request is looked at before the client gives up.
         let last = request.expires.saturating_sub(self.settings.tick);
@@ -564,38 +562,40 @@
     }
 
     fn send(&mut self, id: RequestId, server: ServerId, out: &mut Vec<Action>) {
-        let (Some(node), Some(open)) = (self.nodes.get_mut(&server), self.open.get_mut(&id)) else { return };
-        self.held.remove(&open.turn);
-        node.out += 1;
-        node.cold_left -= 1.0;
-        if let Some((_, until)) = node.aside.as_mut().filter(|(_, until)| *until <= self.now) {
-            *until = self.now + node.backoff; // this is the trial; the next comes after another back-off
-        }
+        let (now, Some(open)) = (self.now, self.open.get_mut(&id)) else { return };
         let class = open.request.class;
-        let mute = node.mute.get_mut(&class).filter(|m| m.since > 0 && m.until <= self.now);
-        // A trial of a class it kept silent on: no longer than it takes to know, so that it can go elsewhere.
-        let timeout = mute.map(|m| {
-            m.until = self.now + m.backoff;
-            self.settings.classes[class].aim
+        let sent = self.fleet.change(server, |node| {
+            node.out += 1;
+            node.cold_left -= 1.0;
+            if let Some((_, until)) = node.aside.as_mut().filter(|(_, until)| *until <= now) {
+                *until = now + node.backoff; // this is the trial; the next comes after another back-off
+            }
+            // A trial of a class it kept silent on: no longer than it takes to know, then elsewhere.
+            let mute = node.mute.get_mut(&class).filter(|m| m.since > 0 && m.until <= now);
+            let timeout = mute.map(|m| {
+                m.until = now + m.backoff;
+                self.settings.classes[class].aim
+            });
+            (node.server.zone, node.server.cell, timeout)
         });
-        let (zone, cell) = (node.server.zone, node.server.cell);
-        open.attempts.push(Attempt { server, zone, cell, sent: self.now, outcome: None });
+        let Some((zone, cell, timeout)) = sent else { return };
+        self.held.remove(&open.turn);
+        open.attempts.push(Attempt { server, zone, cell, sent: now, outcome: None });
         out.push(Action::Send { id, server, timeout });
         if open.attempts.len() == 1 && self.settings.limits.may_duplicate {
-            self.due.insert((self.now + self.usual[open.request.class].high as Micros, id));
+            self.due.insert((now + self.usual[class].high as Micros, id));
         }
     }
 
     /// A request's due time came: end it, place it if it is held, or start a second attempt.
     fn progress(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id).filter(|o| !o.done && !o.streaming) else { return };
-        let class = &self.settings.classes[open.request.class];
         // Could an answer still come within the aim?
         let useful = self.now + (self.usual[open.request.class].median as Micros) < open.aim_at;
         // Guards the client's time: what no server has seen by then is told to come back instead.
         let unseen = open.attempts.iter().all(|a| a.outcome == Some(Outcome::ConnectFailed));
         let useful = useful && !(unseen && self.now >= open.unsent_until);
-        let may_copy = class.effect == Effect::Free && self.budget >= 1.0;
+        let may_copy = self.settings.classes[open.request.class].effect == Effect::Free && self.budget >= 1.0;
         match open.outstanding() {
             _ if self.now >= open.last => self.end(id, out),
             0 if useful => _ = self.place(id, out),
@@ -633,12 +633,11 @@
     /// No attempt is out and the request is not answered: try again where that is allowed and of use.
     fn after_failure(&mut self, id: RequestId, outcome: Outcome, out: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
-        let in_time = self.now < open.last.min(open.aim_at);
         // Guards against holding what may go nowhere any more: it would block those behind it.
-        let somewhere = self.nodes.values().any(|n| self.allowed(open, n));
+        let somewhere = self.fleet.ready().any(|n| self.allowed(open, n));
         // Free only where the server is likely gone: guards against storms of retries among full servers.
         let price = if outcome == Outcome::ConnectFailed { 0.0 } else { 1.0 };
-        let hopeless = !in_time || !somewhere || outcome == Outcome::Rejected;
+        let hopeless = self.now >= open.last.min(open.aim_at) || !somewhere || outcome == Outcome::Rejected;
         if hopeless || !open.tries_left(&self.settings.limits) || self.budget < price {
             return self.end(id, out);
         }
@@ -650,9 +649,8 @@
     fn close(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.open.get_mut(&id) else { return };
         let stop = self.settings.limits.cancel && !open.done && !open.streaming;
-        for (i, _) in open.attempts.iter().enumerate().filter(|(_, a)| stop && a.outcome.is_none()) {
-            out.push(Action::Cancel { id, attempt: i as u32 });
-        }
+        let out_still = open.attempts.iter().enumerate().filter(|(_, a)| stop && a.outcome.is_none());
+        out.extend(out_still.map(|(i, _)| Action::Cancel { id, attempt: i as u32 }));
         open.done = true;
         self.held.remove(&open.turn);
         if open.outstanding() == 0 {
@@ -660,8 +658,6 @@
         }
     }
 
-    // ---- Refusals ---------------------------------------------------------------------------------------
-
     /// The final answer for a request that nothing more can be done for.
     fn end(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.open.get(&id) else { return };
@@ -675,8 +671,7 @@
     /// what is usable, or a trial away where nothing is. Spread by the request's number: guards against
     /// clients that all come back at once.
     fn refuse(&self, id: RequestId, class: ClassId) -> Action {
-        let usable = self.nodes.values().filter(|n| n.server.phase == Phase::Ready && n.aside.is_none());
-        let room: f64 = usable.map(|n| n.limit).sum();
+        let room: f64 = [true, false].map(|own| self.fleet.load(own).fit_limit.value()).iter().sum();
         let took = self.usual.get(class).map_or(0.0, |u| u.median);
         let wait = if room > 0.0 { took * (1.0 + self.held.len() as f64 / room) } else { ASIDE.0 as f64 };
         let spread = 0.5 + unit(mix(self.salt ^ id));
--- /dev/null
+++ b/crates/balancer/src/fleet.rs
@@ -0,0 +1,383 @@
+//! The listed servers, and what decisions ask of all of them at once, kept up to date change by change: sums by
+//! zone, orders, and who needs looking after. Nothing here decides anything.
+//!
+//! Sums are kept in whole units of 2^-32, so that they depend on no order and never drift.
+
+use std::collections::BTreeSet;
+
+use rustc_hash::FxHashMap;
+
+use crate::api::*;
+use crate::state::{Mute, Node, mix};
+
+/// Below this a fading measurement counts as gone.
+const GONE: f64 = 1e-6;
+/// Units in one.
+const UNITS: f64 = 4_294_967_296.0;
+
+/// A sum of numbers up to some millions.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Sum(i64);
+
+impl Sum {
+    fn add(&mut self, value: f64, sign: i64) {
+        self.0 += sign * (value * UNITS).round() as i64;
+    }
+
+    /// The sum.
+    pub fn value(self) -> f64 {
+        self.0 as f64 / UNITS
+    }
+
+    /// The sum of the others: what it is without one part.
+    pub fn without(mut self, part: f64) -> f64 {
+        self.add(part, -1);
+        self.value()
+    }
+}
+
+/// What is known of a group of servers together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(crate) struct Load {
+    /// Servers, whatever their phase, how many of them are set aside, and the sum of their failures.
+    pub count: usize,
+    pub asides: usize,
+    pub failing: Sum,
+    /// Of those that take requests: in use, set aside, attempts in flight at both, limits of each.
+    pub fit: usize,
+    pub aside: usize,
+    pub out: u64,
+    pub fit_limit: Sum,
+    pub aside_limit: Sum,
+    /// Listed sizes, and how many tell one.
+    size: Sum,
+    sized: usize,
+}
+
+impl Load {
+    /// Counts a server in (`sign` 1) or out (-1).
+    fn count(&mut self, node: &Node, sign: i64) {
+        let step = |n: &mut usize| *n = n.wrapping_add_signed(sign as isize);
+        step(&mut self.count);
+        self.failing.add(node.failing, sign);
+        if node.server.size > 0.0 {
+            step(&mut self.sized);
+            self.size.add(node.server.size.min(1e6), sign);
+        }
+        if node.aside.is_some() {
+            step(&mut self.asides);
+        }
+        if node.server.phase != Phase::Ready {
+            return;
+        }
+        self.out = self.out.wrapping_add_signed(sign * i64::from(node.out));
+        let (number, limit) = match node.aside {
+            None => (&mut self.fit, &mut self.fit_limit),
+            Some(_) => (&mut self.aside, &mut self.aside_limit),
+        };
+        step(number);
+        limit.add(node.limit, sign);
+    }
+
+    /// The same without one server.
+    pub fn without(mut self, node: &Node) -> Self {
+        self.count(node, -1);
+        self
+    }
+
+    fn join(&mut self, other: &Load) {
+        self.count += other.count;
+        self.asides += other.asides;
+        self.failing.0 += other.failing.0;
+        self.fit += other.fit;
+        self.aside += other.aside;
+        self.out += other.out;
+        self.fit_limit.0 += other.fit_limit.0;
+        self.aside_limit.0 += other.aside_limit.0;
+        self.size.0 += other.size.0;
+        self.sized += other.sized;
+    }
+}
+
+/// The listed servers.
+#[derive(Default)]
+pub(crate) struct Fleet {
+    nodes: FxHashMap<ServerId, Node>,
+    zones: Vec<Load>,
+    own: ZoneId,
+    /// Who takes requests, by id: in other zones, in the own one.
+    sides: [Vec<ServerId>; 2],
+    /// The same in an order of this agent's own, which changes with the turn.
+    rings: [Vec<(u64, ServerId)>; 2],
+    turn: u64,
+    awake: BTreeSet<ServerId>,
+    cold: BTreeSet<ServerId>,
+    silent: BTreeSet<(ClassId, ServerId)>,
+    hush: Vec<Sum>,
+}
+
+impl Fleet {
+    /// Nobody yet, seen from that zone.
+    pub fn new(own: ZoneId, classes: usize) -> Self {
+        Fleet { own, hush: vec![Sum::default(); classes], ..Fleet::default() }
+    }
+
+    pub fn get(&self, id: ServerId) -> Option<&Node> {
+        self.nodes.get(&id)
+    }
+
+    /// One server, for changes to what is not summed; see [`Fleet::change`].
+    pub fn touch(&mut self, id: ServerId) -> Option<&mut Node> {
+        self.nodes.get_mut(&id)
+    }
+
+    pub fn len(&self) -> usize {
+        self.nodes.len()
+    }
+
+    /// Changes what is known of a server; it is looked after from now on.
+    pub fn change<R>(&mut self, id: ServerId, change: impl FnOnce(&mut Node) -> R) -> Option<R> {
+        let node = self.nodes.get_mut(&id)?;
+        let zone = &mut self.zones[node.server.zone];
+        zone.count(node, -1);
+        let result = change(node);
+        zone.count(node, 1);
+        if !std::mem::replace(&mut node.awake, true) {
+            self.awake.insert(id);
+        }
+        Some(result)
+    }
+
+    /// Changes what is known of how a server answers a class.
+    pub fn change_mute<R>(
+        &mut self,
+        id: ServerId,
+        class: ClassId,
+        change: impl FnOnce(&mut Mute) -> R,
+    ) -> Option<R> {
+        let mute = self.nodes.get_mut(&id)?.mute.entry(class).or_default();
+        self.hush[class].add(mute.failing, -1);
+        let result = change(mute);
+        self.hush[class].add(mute.failing, 1);
+        match mute.since > 0 {
+            true => self.silent.insert((class, id)),
+            false => self.silent.remove(&(class, id)),
+        };
+        Some(result)
+    }
+
+    /// Takes a server in, in place of one of the same id.
+    pub fn insert(&mut self, node: Node) {
+        let id = node.server.id;
+        self.remove(id);
+        if node.server.zone >= self.zones.len() {
+            self.zones.resize(node.server.zone + 1, Load::default());
+        }
+        self.zones[node.server.zone].count(&node, 1);
+        if node.server.started.is_some() {
+            self.cold.insert(id);
+        }
+        self.line_up(&node.server);
+        self.nodes.insert(id, node);
+    }
+
+    /// The list says something new of the same process.
+    pub fn update(&mut self, server: Server) {
+        let Some(mut node) = self.take(server.id) else { return };
+        node.server = server;
+        self.insert(node);
+    }
+
+    /// Forgets a server.
+    pub fn remove(&mut self, id: ServerId) {
+        let Some(node) = self.take(id) else { return };
+        for (class, mute) in &node.mute {
+            self.hush[*class].add(mute.failing, -1);
+            self.silent.remove(&(*class, id));
+        }
+        self.awake.remove(&id);
+        self.cold.remove(&id);
+    }
+
+    /// Forgets all but the listed.
+    pub fn keep(&mut self, listed: &BTreeSet<ServerId>) {
+        let gone: Vec<ServerId> = self.nodes.keys().filter(|id| !listed.contains(id)).copied().collect();
+        gone.into_iter().for_each(|id| self.remove(id));
+    }
+
+    /// Out of all sums and orders, but not of who is looked after.
+    fn take(&mut self, id: ServerId) -> Option<Node> {
+        let node = self.nodes.remove(&id)?;
+        self.zones[node.server.zone].count(&node, -1);
+        let (side, place) = (usize::from(node.server.zone == self.own), mix(self.turn ^ id.0));
+        if let Ok(i) = self.sides[side].binary_search(&id) {
+            self.sides[side].remove(i);
+        }
+        if let Ok(i) = self.rings[side].binary_search(&(place, id)) {
+            self.rings[side].remove(i);
+        }
+        Some(node)
+    }
+
+    fn line_up(&mut self, server: &Server) {
+        if server.phase != Phase::Ready {
+            return;
+        }
+        let (side, place) = (usize::from(server.zone == self.own), (mix(self.turn ^ server.id.0), server.id));
+        if let Err(i) = self.sides[side].binary_search(&server.id) {
+            self.sides[side].insert(i, server.id);
+        }
+        if let Err(i) = self.rings[side].binary_search(&place) {
+            self.rings[side].insert(i, place);
+        }
+    }
+
+    /// Another turn: the rings are put in another order.
+    pub fn turn(&mut self, turn: u64) {
+        if turn == self.turn {
+            return;
+        }
+        self.turn = turn;
+        for (ring, side) in self.rings.iter_mut().zip(&self.sides) {
+            *ring = side.iter().map(|id| (mix(turn ^ id.0), *id)).collect();
+            ring.sort_unstable();
+        }
+    }
+
+    /// Those of one zone together.
+    pub fn zone(&self, zone: ZoneId) -> Load {
+        self.zones.get(zone).copied().unwrap_or_default()
+    }
+
+    /// Those of the own zone, or of all others.
+    pub fn load(&self, own: bool) -> Load {
+        let mut load = Load::default();
+        let side = self.zones.iter().enumerate().filter(|(zone, _)| (*zone == self.own) == own);
+        side.for_each(|(_, zone)| load.join(zone));
+        load
+    }
+
+    /// The mean of the sizes that are told; 0 where none is.
+    pub fn mean_size(&self) -> f64 {
+        let mut all = self.load(true);
+        all.join(&self.load(false));
+        all.size.value() / all.sized.max(1) as f64
+    }
+
+    /// Who takes requests in the own zone, or in all others, by id.
+    pub fn side(&self, own: bool) -> impl ExactSizeIterator<Item = &Node> {
+        self.sides[usize::from(own)].iter().map(|id| &self.nodes[id])
+    }
+
+    /// The same in this turn's order, from a place on, all the way round.
+    pub fn ring(&self, own: bool, from: usize) -> impl Iterator<Item = &Node> {
+        let ring = &self.rings[usize::from(own)];
+        let (before, after) = ring.split_at(if ring.is_empty() { 0 } else { from % ring.len() });
+        after.iter().chain(before).map(|(_, id)| &self.nodes[id])
+    }
+
+    /// Those left out for a class, or tried again for it.
+    pub fn silent(&self, class: ClassId) -> impl Iterator<Item = &Node> {
+        let range = (class, ServerId(0))..=(class, ServerId(u64::MAX));
+        self.silent.range(range).map(|(_, id)| &self.nodes[id])
+    }
+
+    /// The sum of all servers' silence on a class, as a part of attempts.
+    pub fn hush(&self, class: ClassId) -> Sum {
+        self.hush[class]
+    }
+
+    /// Those of whom something fades, or that are set aside, by id.
+    pub fn awake(&self) -> impl Iterator<Item = &Node> {
+        self.awake.iter().map(|id| &self.nodes[id])
+    }
+
+    /// Looks after each of them, by id; those of whom all has faded are left alone from then on.
+    pub fn look_after(&mut self, mut look: impl FnMut(&mut Node)) {
+        let nodes = &mut self.nodes;
+        self.awake.retain(|id| {
+            let Some(node) = nodes.get_mut(id) else { return false };
+            look(node);
+            let busy = node.out > 0 || node.idle_since.is_some() || node.aside.is_some();
+            node.awake = busy || node.lag > GONE || node.oks > GONE;
+            if !node.awake {
+                (node.lag, node.oks) = (0.0, 0.0);
+            }
+            node.awake
+        });
+    }
+
+    /// Those that started a while ago at most, by id.
+    pub fn cold(&self) -> impl Iterator<Item = &Node> {
+        self.cold.iter().map(|id| &self.nodes[id])
+    }
+
+    /// Those that started longer ago than that are no longer told as cold.
+    pub fn warm_up(&mut self, now: Micros, cold: Micros) {
+        let nodes = &self.nodes;
+        let started = |id: &ServerId| nodes.get(id).and_then(|n| n.server.started);
+        self.cold.retain(|id| started(id).is_some_and(|at| now.saturating_sub(at) < cold));
+    }
+
+    /// Who takes requests: the own zone first.
+    pub fn ready(&self) -> impl Iterator<Item = &Node> {
+        self.side(true).chain(self.side(false))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::state::Rng;
+
+    fn node(n: u64, zone: ZoneId, phase: Phase) -> Node {
+        let server = Server { id: ServerId(n * 7919), zone, cell: 0, phase, size: n as f64, started: None };
+        Node::new(server, 0.0, 1.5 + n as f64, 1.0, 0)
+    }
+
+    /// Whatever changes in whatever order: the sums are those of the servers that are there.
+    #[test]
+    fn sums_and_orders_follow_every_change() {
+        let mut rng = Rng(3);
+        let mut fleet = Fleet::new(1, 2);
+        for step in 0..20_000u64 {
+            let mut below = |n: u64| (rng.unit() * n as f64) as u64;
+            let (n, zone, phase) = (below(40), below(3) as usize, below(3));
+            let id = ServerId(n * 7919);
+            match below(7) {
+                0 => fleet.insert(node(n, zone, if phase == 0 { Phase::Draining } else { Phase::Ready })),
+                1 => fleet.remove(id),
+                2 => drop(fleet.change(id, |n| n.limit = (n.limit * 1.37) % 50.0)),
+                3 => drop(fleet.change(id, |n| n.aside = n.aside.is_none().then_some((step, step)))),
+                4 => drop(fleet.change(id, |n| (n.out, n.failing) = (n.out + 1, n.failing / 2.0 + 0.3))),
+                5 => {
+                    drop(fleet.change_mute(id, zone % 2, |m| (m.failing, m.since) = (m.failing + 0.1, phase)))
+                }
+                _ => fleet.turn(step / 500),
+            }
+            let mut zones = [Load::default(); 3];
+            fleet.nodes.values().for_each(|n| zones[n.server.zone].count(n, 1));
+            for (zone, wanted) in zones.iter().enumerate() {
+                assert_eq!(fleet.zone(zone), *wanted, "{step}");
+            }
+            for own in [false, true] {
+                let here = |n: &&Node| n.server.phase == Phase::Ready && (n.server.zone == 1) == own;
+                let mut wanted: Vec<ServerId> =
+                    fleet.nodes.values().filter(here).map(|n| n.server.id).collect();
+                wanted.sort_unstable();
+                assert!(fleet.side(own).map(|n| n.server.id).eq(wanted.iter().copied()), "{step}");
+                let mut ring: Vec<ServerId> = fleet.ring(own, step as usize).map(|n| n.server.id).collect();
+                ring.sort_unstable();
+                assert_eq!(ring, wanted, "{step}");
+            }
+            for class in 0..2 {
+                let mut hush = Sum::default();
+                let mutes = fleet.nodes.values().filter_map(|n| n.mute.get(&class));
+                mutes.for_each(|m| hush.add(m.failing, 1));
+                assert_eq!(fleet.hush(class), hush, "{step}");
+                let silent = fleet.nodes.values().filter(|n| n.mute.get(&class).is_some_and(|m| m.since > 0));
+                assert_eq!(fleet.silent(class).count(), silent.count(), "{step}");
+            }
+        }
+    }
+}
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -30,6 +30,7 @@
 
 pub mod api;
 mod balance;
+mod fleet;
 mod state;
 
 pub use api::*;
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -114,6 +114,8 @@
     pub cold_left: f64,
     pub cold_chance: f64,
     pub cold_at: Micros,
+    /// Something of it fades, or is to be looked after.
+    pub awake: bool,
 }
 
 impl Node {
@@ -138,6 +140,7 @@
             cold_left: 0.0,
             cold_chance: 1.0,
             cold_at: now,
+            awake: false,
         }
     }
 }
