--- a/crates/balancer/benches/handle.rs
+++ b/crates/balancer/benches/handle.rs
@@ -101,7 +101,8 @@
     fn change(&mut self, n: usize) {
         let mut server = self.servers[n % self.servers.len()].clone();
         self.now += 500;
-        server.phase = if n / self.servers.len() % 2 == 0 { Phase::Draining } else { Phase::Ready };
+        server.phase =
+            if (n / self.servers.len()).is_multiple_of(2) { Phase::Draining } else { Phase::Ready };
         self.event(Event::Members(Listing { scope: Scope::Changes, servers: vec![server] }));
     }
 }
--- a/crates/balancer/src/balance.rs
+++ b/crates/balancer/src/balance.rs
@@ -1,7 +1,7 @@
-//! All decisions of the balancer. Its interface (settings, events, actions) is `api.rs`; `state.rs` holds plain
-//! records, `fleet.rs` what is asked of all servers at once. Order: membership, usability (health, limits, cold
-//! starts), candidate set (the zone test of KEP-4444 PreferClose), even draw, attempts, refusals. One request
-//! runs through `request`, `place`, `candidates`, `draw`; its attempts end in `settled`.
+//! All decisions of the balancer. Its interface (settings, events, actions) is `api.rs`; `state.rs` holds
+//! plain records, `fleet.rs` what is asked of all servers at once. Order: membership, usability (health,
+//! limits, cold starts), candidate set (the zone test of KEP-4444), even draw, attempts, refusals.
+//! One request runs through `request`, `place`, `candidates`, `draw`; its attempts end in `settled`.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
@@ -462,8 +462,8 @@
                 // probes are allowed, `beat` makes it.
                 let trial = free && self.rest[usize::from(own)] <= self.now;
                 let fits = |n: &&Node| {
-                    (!health || n.aside.is_none_or(|(_, until)| trial && until <= self.now))
-                        && (!health || self.heard(n, open.request.class))
+                    let well = n.aside.is_none_or(|(_, until)| trial && until <= self.now);
+                    (!health || well && self.heard(n, open.request.class))
                         && (again || open.attempts.iter().all(|a| a.server != n.server.id))
                         && self.allowed(open, n)
                 };
--- a/crates/balancer/src/fleet.rs
+++ b/crates/balancer/src/fleet.rs
@@ -1,5 +1,5 @@
-//! The listed servers, and what decisions ask of all of them at once, kept up to date change by change: sums by
-//! zone, orders, and who needs looking after. Nothing here decides anything.
+//! The listed servers, and what decisions ask of all of them at once, kept up to date change by change: sums
+//! by zone, orders, and who needs looking after. Nothing here decides anything.
 //!
 //! Sums are kept in whole units of 2^-32, so that they depend on no order and never drift.
 
@@ -347,11 +347,12 @@
             match below(7) {
                 0 => fleet.insert(node(n, zone, if phase == 0 { Phase::Draining } else { Phase::Ready })),
                 1 => fleet.remove(id),
-                2 => drop(fleet.change(id, |n| n.limit = (n.limit * 1.37) % 50.0)),
-                3 => drop(fleet.change(id, |n| n.aside = n.aside.is_none().then_some((step, step)))),
-                4 => drop(fleet.change(id, |n| (n.out, n.failing) = (n.out + 1, n.failing / 2.0 + 0.3))),
+                2 => _ = fleet.change(id, |n| n.limit = (n.limit * 1.37) % 50.0),
+                3 => _ = fleet.change(id, |n| n.aside = n.aside.is_none().then_some((step, step))),
+                4 => _ = fleet.change(id, |n| (n.out, n.failing) = (n.out + 1, n.failing / 2.0 + 0.3)),
                 5 => {
-                    drop(fleet.change_mute(id, zone % 2, |m| (m.failing, m.since) = (m.failing + 0.1, phase)))
+                    let change = |m: &mut Mute| (m.failing, m.since) = (m.failing + 0.1, phase);
+                    _ = fleet.change_mute(id, zone % 2, change);
                 }
                 _ => fleet.turn(step / 500),
             }
