--- a/crates/balancer/src/balance.rs
+++ b/crates/balancer/src/balance.rs
@@ -267,15 +267,16 @@
     fn refill_cold(&mut self) {
         let (multiple, fall) = (self.settings.safety.fall_multiple, self.settings.safety.fall as f64);
         let least = COLD_LEAST / f64::from(self.settings.balancers) / fall;
-        self.fleet.warm_up(self.now, self.settings.safety.cold);
-        let due = |n: &&Node| n.cold_at <= self.now && self.warmth(n) < 1.0;
-        let due: Vec<ServerId> = self.fleet.cold().filter(due).map(|n| n.server.id).collect();
         let mut means = BTreeMap::new();
-        for id in due {
-            let Some(node) = self.fleet.get(id) else { continue };
+        for id in self.fleet.cold_due(self.now) {
+            let Some(node) = self.fleet.get(id).filter(|n| self.warmth(n) < 1.0) else {
+                self.fleet.warm(id);
+                continue;
+            };
             let mean = *means.entry(node.server.zone).or_insert_with_key(|zone| {
                 let warm = self.fleet.awake().filter(|n| n.server.zone == *zone && self.warmth(n) >= 1.0);
-                let cold = self.fleet.cold().filter(|n| n.server.zone == *zone).count();
+                let cold =
+                    self.fleet.started_after(*zone, self.now.saturating_sub(self.settings.safety.cold));
                 let peers = (self.fleet.zone(*zone).count - cold).max(1) as f64;
                 warm.map(|n| n.oks / self.size(n)).sum::<f64>() / peers
             });
@@ -286,7 +287,7 @@
             let saved = node.cold_left.min(rate * fall / 2.0 - 1.0).max(0.0);
             node.cold_left = (saved + rate * window + chance).floor();
             node.cold_chance = (rate * window).min(1.0);
-            node.cold_at = self.now + window as Micros;
+            self.fleet.grant(id, self.now + window as Micros);
         }
     }
 
--- a/crates/balancer/src/fleet.rs
+++ b/crates/balancer/src/fleet.rs
@@ -3,7 +3,7 @@
 //!
 //! Sums are kept in whole units of 2^-32, so that they depend on no order and never drift.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use rustc_hash::FxHashMap;
 
@@ -111,7 +111,9 @@
     rings: [Vec<(u64, ServerId)>; 2],
     turn: u64,
     awake: BTreeSet<ServerId>,
-    cold: BTreeSet<ServerId>,
+    /// Those that started a while ago, and when; and when each is granted requests next.
+    cold: BTreeMap<ServerId, (ZoneId, Micros)>,
+    grants: BTreeSet<(Micros, ServerId)>,
     silent: BTreeSet<(ClassId, ServerId)>,
     hush: Vec<Sum>,
 }
@@ -174,8 +176,9 @@
             self.zones.resize(node.server.zone + 1, Load::default());
         }
         self.zones[node.server.zone].count(&node, 1);
-        if node.server.started.is_some() {
-            self.cold.insert(id);
+        if let Some(at) = node.server.started {
+            self.cold.insert(id, (node.server.zone, at));
+            self.grants.insert((node.cold_at, id));
         }
         self.line_up(&node.server);
         self.nodes.insert(id, node);
@@ -196,6 +199,7 @@
             self.silent.remove(&(*class, id));
         }
         self.awake.remove(&id);
+        self.grants.remove(&(node.cold_at, id));
         self.cold.remove(&id);
     }
 
@@ -307,16 +311,34 @@
         });
     }
 
-    /// Those that started a while ago at most, by id.
-    pub fn cold(&self) -> impl Iterator<Item = &Node> {
-        self.cold.iter().map(|id| &self.nodes[id])
+    /// Those that started lately and are due to be granted requests, by id: each is to be granted some anew.
+    pub fn cold_due(&mut self, now: Micros) -> Vec<ServerId> {
+        if self.grants.first().is_none_or(|(at, _)| *at > now) {
+            return Vec::new();
+        }
+        let later = self.grants.split_off(&(now + 1, ServerId(0)));
+        let due = std::mem::replace(&mut self.grants, later);
+        let mut due: Vec<ServerId> = due.into_iter().map(|(_, id)| id).collect();
+        due.sort_unstable();
+        due
+    }
+
+    /// A server is cold still: it is granted requests again at `at`.
+    pub fn grant(&mut self, id: ServerId, at: Micros) {
+        if let Some(node) = self.nodes.get_mut(&id) {
+            node.cold_at = at;
+            self.grants.insert((at, id));
+        }
+    }
+
+    /// A server is warm.
+    pub fn warm(&mut self, id: ServerId) {
+        self.cold.remove(&id);
     }
 
-    /// Those that started longer ago than that are no longer told as cold.
-    pub fn warm_up(&mut self, now: Micros, cold: Micros) {
-        let nodes = &self.nodes;
-        let started = |id: &ServerId| nodes.get(id).and_then(|n| n.server.started);
-        self.cold.retain(|id| started(id).is_some_and(|at| now.saturating_sub(at) < cold));
+    /// How many of a zone started after that.
+    pub fn started_after(&self, zone: ZoneId, at: Micros) -> usize {
+        self.cold.values().filter(|c| c.0 == zone && c.1 > at).count()
     }
 
     /// Who takes requests: the own zone first.
