--- a/crates/balancer/src/balance.rs
+++ b/crates/balancer/src/balance.rs
@@ -269,10 +269,7 @@
         let least = COLD_LEAST / f64::from(self.settings.balancers) / fall;
         let mut means = BTreeMap::new();
         for id in self.fleet.cold_due(self.now) {
-            let Some(node) = self.fleet.get(id).filter(|n| self.warmth(n) < 1.0) else {
-                self.fleet.warm(id);
-                continue;
-            };
+            let Some(node) = self.fleet.get(id).filter(|n| self.warmth(n) < 1.0) else { continue };
             let mean = *means.entry(node.server.zone).or_insert_with_key(|zone| {
                 let warm = self.fleet.awake().filter(|n| n.server.zone == *zone && self.warmth(n) >= 1.0);
                 let cold =
--- a/crates/balancer/src/fleet.rs
+++ b/crates/balancer/src/fleet.rs
@@ -331,11 +331,6 @@
         }
     }
 
-    /// A server is warm.
-    pub fn warm(&mut self, id: ServerId) {
-        self.cold.remove(&id);
-    }
-
     /// How many of a zone started after that.
     pub fn started_after(&self, zone: ZoneId, at: Micros) -> usize {
         self.cold.values().filter(|c| c.0 == zone && c.1 > at).count()
