--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -131,24 +131,20 @@
     text
 }
 
-/// Plays everything, and writes what was finished even where it was stopped.
-pub fn run(
-    scenarios: Vec<Scenario>,
+/// Plays every scenario under every policy and seeds 1 to `seeds`, and writes `runs.csv`: what was finished, and
+/// whether it was stopped.
+pub fn play_grid(
+    scenarios: &[Scenario],
     policies: &[PolicyName],
     seeds: u64,
     out: &Path,
-) -> Result<ExitCode, String> {
-    for (i, scenario) in scenarios.iter().enumerate() {
-        if scenarios[..i].iter().any(|s| s.name == scenario.name) {
-            return Err(format!("two scenarios are called `{}`, expected names that differ", scenario.name));
-        }
-    }
+) -> Result<(Vec<Note>, bool), String> {
     if seeds == 0 || policies.is_empty() {
         return Err("nothing to play, expected one policy and one seed at least".into());
     }
     files::folder(out)?;
     let mut trials = Vec::new();
-    for scenario in &scenarios {
+    for scenario in scenarios {
         for seed in 1..=seeds {
             trials.extend(policies.iter().map(|&policy| Trial { scenario, policy, seed }));
         }
@@ -157,6 +153,22 @@
     let notes = jobs.play_all(&trials);
     jobs.end();
     files::write(&out.join("runs.csv"), &csv(&notes))?;
+    Ok((notes, jobs.stopped()))
+}
+
+/// Plays everything, and writes what was finished even where it was stopped.
+pub fn run(
+    scenarios: Vec<Scenario>,
+    policies: &[PolicyName],
+    seeds: u64,
+    out: &Path,
+) -> Result<ExitCode, String> {
+    for (i, scenario) in scenarios.iter().enumerate() {
+        if scenarios[..i].iter().any(|s| s.name == scenario.name) {
+            return Err(format!("two scenarios are called `{}`, expected names that differ", scenario.name));
+        }
+    }
+    let (notes, stopped) = play_grid(&scenarios, policies, seeds, out)?;
     let mut sections = Vec::new();
     for scenario in &scenarios {
         let groups = groups(&notes, &scenario.name, policies);
@@ -187,7 +199,7 @@
     println!("written: {}", out.join("report.html").display());
     let broken: u64 = notes.iter().map(|n| n.report.breaks).sum();
     Ok(match () {
-        () if jobs.stopped() => ExitCode::from(130),
+        () if stopped => ExitCode::from(130),
         () if broken > 0 => ExitCode::from(1),
         () => ExitCode::SUCCESS,
     })
--- a/crates/lab/src/sweep.rs
+++ b/crates/lab/src/sweep.rs
@@ -10,7 +10,7 @@
 use crate::compare;
 use crate::files::{self, Loaded};
 use crate::pictures::{self, Curve, Section};
-use crate::play::{Jobs, Note, Trial};
+use crate::play::Note;
 use crate::statistics::{Figure, mean};
 
 /// Steps where none are told.
@@ -110,20 +110,7 @@
             Ok(scenario)
         })
         .collect::<Result<_, String>>()?;
-    if seeds == 0 {
-        return Err("nothing to play, expected one seed at least".into());
-    }
-    files::folder(out)?;
-    let mut trials = Vec::new();
-    for scenario in &scenarios {
-        for seed in 1..=seeds {
-            trials.extend(policies.iter().map(|&policy| Trial { scenario, policy, seed }));
-        }
-    }
-    let jobs = Jobs::begin(trials.len() as u64)?;
-    let notes = jobs.play_all(&trials);
-    jobs.end();
-    files::write(&out.join("runs.csv"), &compare::csv(&notes))?;
+    let (notes, stopped) = compare::play_grid(&scenarios, policies, seeds, out)?;
     let title = format!("{}: {} from {} to {}", loaded.scenario.name, vary.path, vary.from, vary.to);
     let section = section(&title, vary, (&scenarios, &values), policies, &notes)?;
     println!("{title}, {seeds} seeds, service\n{}", compare::plain_table(&section.head, &section.rows));
@@ -132,7 +119,7 @@
     }
     files::write(&out.join("report.html"), &pictures::page(&title, &[section]))?;
     println!("written: {}", out.join("report.html").display());
-    Ok(if jobs.stopped() { ExitCode::from(130) } else { ExitCode::SUCCESS })
+    Ok(if stopped { ExitCode::from(130) } else { ExitCode::SUCCESS })
 }
 
 fn section(
