--- a/crates/lab/src/hunt.rs
+++ b/crates/lab/src/hunt.rs
@@ -19,7 +19,7 @@
 use crate::play::Jobs;
 
 /// A run that plays more events than this for each request asked has got stuck in a circle.
-const EVENTS_MOST: u64 = 3_000;
+const EVENTS_MOST: u64 = 100;
 /// Tries at making a finding smaller.
 const SHRINKS_MOST: usize = 300;
 
