Send a server's replies, and style curves, in one place each

Cause: a finished and a broken job each wrote the way back to the proxy; three places paired curves with colours. Change: World::reply and pictures::styled serve them.

--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -1354,18 +1354,24 @@
         self.judge.fact(3, [number, now, u64::from(server)]);
     }
 
+    /// What a server in `zone` says of a job goes on its way, unless its proxy no longer waits. `leg` names the
+    /// message, so that its latency is its own.
+    fn reply(&mut self, zone: usize, job: &Job, outcome: Outcome, leg: u64) {
+        let Some(held) = self.tries.get(key(job.request)).filter(|_| !job.cancelled) else { return };
+        let to = self.proxies[held.proxy as usize].zone;
+        let (number, n) = (self.ops[held.op].number, job.attempt);
+        let way = self.network.way(zone, to, [number, u64::from(n) << 8 | leg]);
+        let from = self.network.cut_between(zone, to, self.now).unwrap_or(self.now);
+        self.queue.push(from + way, What::Back { request: job.request, n, outcome });
+    }
+
     fn left_server(&mut self, server: u32, job: &Job, outcome: Outcome) {
         let machine = &self.machines[server as usize];
         let place = &self.places[machine.place as usize];
         let silent = place.grey.values().any(|g| g.0 == job.class && g.2);
-        if !(job.cancelled || silent)
-            && let Some(held) = self.tries.get(key(job.request))
-        {
-            let zone = self.proxies[held.proxy as usize].zone;
-            let (number, n) = (self.ops[held.op].number, job.attempt);
-            let way = self.network.way(machine.zone, zone, [number, u64::from(n) << 8 | 5]);
-            let from = self.network.cut_between(zone, machine.zone, self.now).unwrap_or(self.now);
-            self.queue.push(from + way, What::Back { request: job.request, n, outcome });
+        let zone = machine.zone;
+        if !silent {
+            self.reply(zone, job, outcome, 5);
         }
         self.release(job.op);
     }
@@ -1385,16 +1391,8 @@
         (machine.connections, machine.armed) = (0, Micros::MAX);
         self.judge.relieved(server);
         for job in jobs {
-            if !silent
-                && !job.cancelled
-                && let Some(held) = self.tries.get(key(job.request))
-            {
-                let to = self.proxies[held.proxy as usize].zone;
-                let way =
-                    self.network.way(zone, to, [self.ops[held.op].number, u64::from(job.attempt) << 8 | 6]);
-                let from = self.network.cut_between(zone, to, self.now).unwrap_or(self.now);
-                let (request, n) = (job.request, job.attempt);
-                self.queue.push(from + way, What::Back { request, n, outcome: Outcome::Reset });
+            if !silent {
+                self.reply(zone, &job, Outcome::Reset, 6);
             }
             self.release(job.op);
         }
--- a/crates/lab/src/pictures.rs
+++ b/crates/lab/src/pictures.rs
@@ -54,6 +54,11 @@
     range(curves.iter().flat_map(|c| c.points.iter().map(pick)))
 }
 
+/// Each curve with its colour, as a line of that width.
+fn styled(curves: &[Curve], width: u32) -> impl Iterator<Item = (&Curve, ShapeStyle)> {
+    curves.iter().zip(COLOURS.iter().cycle()).map(move |(curve, colour)| (curve, colour.stroke_width(width)))
+}
+
 /// Lines over plain axes.
 pub fn curves(
     title: &str,
@@ -72,8 +77,7 @@
             .y_label_area_size(64)
             .build_cartesian_2d(x0..x1, y0..y1)?;
         chart.configure_mesh().x_desc(x_name).y_desc(y_name).label_style(("sans-serif", 14)).draw()?;
-        for (curve, colour) in curves.iter().zip(COLOURS.iter().cycle()) {
-            let style = colour.stroke_width(2);
+        for (curve, style) in styled(curves, 2) {
             chart.draw_series(LineSeries::new(curve.points.iter().copied(), style))?;
         }
         legend(area, curves)
@@ -86,9 +90,9 @@
 /// Colours and names, beside the picture so that it hides nothing.
 fn legend(area: &Area, curves: &[Curve]) -> Result<(), Box<dyn std::error::Error>> {
     let x = (SIZE.0 - LEGEND + 8) as i32;
-    for (i, (curve, colour)) in curves.iter().zip(COLOURS.iter().cycle()).enumerate() {
+    for (i, (curve, style)) in styled(curves, 3).enumerate() {
         let y = 60 + 24 * i as i32;
-        area.draw(&PathElement::new([(x, y + 7), (x + 20, y + 7)], colour.stroke_width(3)))?;
+        area.draw(&PathElement::new([(x, y + 7), (x + 20, y + 7)], style))?;
         area.draw(&Text::new(curve.name.clone(), (x + 26, y), ("sans-serif", 14)))?;
     }
     Ok(())
@@ -123,8 +127,7 @@
             })
             .label_style(("sans-serif", 14))
             .draw()?;
-        for (curve, colour) in curves.iter().zip(COLOURS.iter().cycle()) {
-            let style = colour.stroke_width(2);
+        for (curve, style) in styled(curves, 2) {
             let points = curve.points.iter().copied().filter(|p| p.0 <= 4.0);
             chart.draw_series(LineSeries::new(points, style))?;
         }
