Split in-flight limits by each proxy's part of all requests, told by datagrams

In-flight limits are split evenly by the number of proxies (balance.rs, Node::new with mine = 1/balancers), so the few busy ones held and refused what the idle ones left unused, and spilled a third of all requests to other zones.

Change: news.rs in the module (no I/O): each proxy tells its request rate about once a second in 5 bytes, with jitter, less often in larger tiers; shares follow; all lost means an even part as before.

--- a/crates/balancer/src/balance.rs
+++ b/crates/balancer/src/balance.rs
@@ -7,14 +7,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::api::*;
-use crate::fleet::Fleet;
 use crate::state::{Attempt, Mute, Node, Open, Rng, Turn, Usual, follow, mix, unit};
+use crate::{fleet::Fleet, news::News};
 
 /// Beats in the shortest aim: how often measurements fade and cold servers are granted requests.
 const BEATS_PER_AIM: u64 = 10;
 /// A request that reached no server is given up at this part of its time: later, nobody gains by the wait.
 const UNSENT_UNTIL: f64 = 0.15;
-/// How long arrivals and answers count in measured rates and idle connections stay; slowness in the trim.
+/// How long answers count in measured rates and idle connections stay; slowness in the trim.
 const RATE_MEMORY: f64 = 2_000_000.0;
 const LAG_MEMORY: f64 = 10_000_000.0;
 /// An answer starts to hurt at this part of its aim, so that trouble shows before worth is lost.
@@ -74,10 +74,11 @@
     rest: [Micros; 2],
     usual: Vec<Usual>,
     mean_size: f64,
+    /// What the agents are asked for, this one and the others.
+    news: News,
     beat: Micros,
     next_beat: Micros,
-    /// Arrivals, fading over `RATE_MEMORY`, the salt of this agent's subset, and where its round has come to.
-    arrivals: f64,
+    /// The salt of this agent's subset, and where its round has come to.
     salt: u64,
     round: usize,
     /// Requests that wait for room, most worth first, then newest.
@@ -107,8 +108,8 @@
             usual: settings.classes.iter().map(usual).collect(),
             mean_size: 1.0,
             beat: (aim / BEATS_PER_AIM).min(1_000_000).max(settings.tick),
+            news: News::new(&settings, seed),
             next_beat: 0,
-            arrivals: 0.0,
             salt: mix(seed),
             round: 0,
             held: BTreeSet::new(),
@@ -132,7 +133,8 @@
             Event::Timer { token } if self.armed == Some(token) => self.armed = None,
             Event::Members(listing) => self.members(listing, out),
             Event::Probed { server, outcome, .. } => self.probed(server, outcome),
-            Event::Timer { .. } | Event::Peer { .. } => {}
+            Event::Peer { from, data } => self.news.hear(self.now, from, &data),
+            Event::Timer { .. } => {} // one that is no longer wanted
         }
         self.run_due(out);
     }
@@ -161,8 +163,8 @@
                 }
             }
         }
-        let due = [self.due.first().map(|&(at, _)| at), self.ask_at];
-        let next = due.into_iter().flatten().fold(self.next_beat, Micros::min).max(self.now + 1);
+        let next = self.due.first().map_or(self.next_beat, |due| due.0.min(self.next_beat));
+        let next = self.ask_at.map_or(next, |at| at.min(next)).max(self.now + 1);
         if self.armed.is_none_or(|at| next < at || at < self.now) {
             self.armed = Some(next);
             out.push(Action::Timer { delay: next - self.now, token: next });
@@ -190,8 +192,8 @@
                 // The same process as before keeps what is known of it; a restarted one starts anew.
                 Some(node) if node.server.started == server.started => self.fleet.update(server),
                 _ => {
-                    let mine = 1.0 / f64::from(self.settings.balancers);
-                    self.fleet.insert(Node::new(server, self.rng.unit(), LIMIT_FIRST * mine, mine, self.now));
+                    let (credit, share) = (self.rng.unit(), self.news.share);
+                    self.fleet.insert(Node::new(server, credit, LIMIT_FIRST, share, self.now));
                 }
             }
         }
@@ -215,7 +217,7 @@
     /// Those that one of many agents keeps to, by an order of its own, before room is asked for: guards
     /// against full servers that send agents on to all. Of very many, some with room; else all of a side.
     fn some(&self, own: bool, fits: impl Fn(&&Node) -> bool, room: impl Fn(&&Node) -> bool) -> Vec<&Node> {
-        let few = (self.arrivals / RATE_MEMORY * SUBSET.0).max(SUBSET.1) as usize;
+        let few = (self.news.asked_of_late(self.now) * SUBSET.0).max(SUBSET.1) as usize;
         if self.settings.warm_keys || f64::from(self.settings.balancers) <= LIMIT_FIRST {
             if self.settings.warm_keys || self.fleet.side(own).len() <= WIDE {
                 return self.fleet.side(own).filter(fits).collect();
@@ -237,8 +239,7 @@
     /// Who keeps silent on the class is none of it: its idle limit would keep the others' from growing.
     fn zone_load(&self, own: bool, class: ClassId) -> (f64, f64) {
         let here = |n: &&Node| (n.server.zone == self.settings.zone) == own && !self.heard(n, class);
-        let load =
-            self.fleet.silent(class).filter(here).fold(self.fleet.load(own), |load, n| load.without(n));
+        let load = self.fleet.silent(class).filter(here).fold(self.fleet.load(own), |l, n| l.without(n));
         let (out, all) = (load.out as f64, (load.fit + load.aside) as f64);
         if load.fit > 0 && all * LIMIT_FIRST >= f64::from(self.settings.balancers) {
             return (out, load.fit_limit.value());
@@ -330,9 +331,8 @@
                 }
             }
             // Failures of the whole zone alike are its load, not a sick server; broken connections are plain.
-            let above =
-                node.failing - others.failing.value() / others.count.max(1) as f64 >= EJECT_ABOVE_PEERS;
-            let stands_out = pace > 0.25 || above && !most;
+            let usual = others.failing.value() / others.count.max(1) as f64;
+            let stands_out = pace > 0.25 || node.failing - usual >= EJECT_ABOVE_PEERS && !most;
             let due = node.aside.is_none_or(|(_, until)| until <= now);
             if failed > 0.0 && node.failing >= EJECT_AT && stands_out && due {
                 node.backoff = (node.backoff * 2).clamp(ASIDE.0, ASIDE.1);
@@ -422,7 +422,6 @@
     /// Lets measurements fade and cold servers have their due.
     fn beat(&mut self, out: &mut Vec<Action>) {
         let kept = |memory: f64| 1.0 - self.beat as f64 / memory;
-        self.arrivals *= kept(RATE_MEMORY);
         let (now, faded) = (self.now, (kept(LAG_MEMORY), kept(RATE_MEMORY)));
         self.fleet.look_after(|node| {
             (node.lag, node.oks) = (node.lag * faded.0, node.oks * faded.1);
@@ -440,6 +439,9 @@
             }
         });
         self.refill_cold();
+        // Guards the busiest of many agents against the even part of limits, most of which the others leave.
+        self.fleet.scale(self.news.follow(now));
+        out.extend(self.news.due(now).map(|data| Action::Tell { to: None, data }));
     }
 
     /// PreferClose: the usable servers of the own zone; if there are none, those of the whole fleet. If
@@ -528,7 +530,7 @@
         if request.class >= self.usual.len() || request.expires <= self.now {
             return out.push(self.refuse(id, request.class));
         }
-        self.arrivals += 1.0;
+        self.news.asked(self.now);
         let earned = BUDGET.0 + BUDGET.1 * (self.won - WON.0).max(0.0);
         self.budget = (self.budget + earned).min(BUDGET_MOST);
         // Guards rule 1: whatever happens, the request is looked at before the client gives up.
--- a/crates/balancer/src/fleet.rs
+++ b/crates/balancer/src/fleet.rs
@@ -150,6 +150,19 @@
         Some(result)
     }
 
+    /// This agent's part of what the servers carry changed: so do its limits.
+    pub fn scale(&mut self, by: f64) {
+        if by == 1.0 {
+            return;
+        }
+        for node in self.nodes.values_mut() {
+            let zone = &mut self.zones[node.server.zone];
+            zone.count(node, -1);
+            (node.limit, node.mine) = (node.limit * by, node.mine * by);
+            zone.count(node, 1);
+        }
+    }
+
     /// Changes what is known of how a server answers a class.
     pub fn change_mute<R>(
         &mut self,
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod api;
 mod balance;
 mod fleet;
+mod news;
 mod state;
 
 pub use api::*;
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -119,6 +119,7 @@
 }
 
 impl Node {
+    /// One that is new: `limit` is what all agents together may have in flight there, `mine` this one's part.
     pub fn new(server: Server, credit: f64, limit: f64, mine: f64, now: Micros) -> Self {
         Node {
             server,
@@ -126,7 +127,7 @@
             credit,
             out: 0,
             idle_since: None,
-            limit,
+            limit: limit * mine,
             hurt: false,
             quickest: Micros::MAX,
             mine,
--- a/crates/balancer/tests/decisions.rs
+++ b/crates/balancer/tests/decisions.rs
@@ -50,6 +50,28 @@
     assert!([1, 2, 3].iter().all(|n| (90..=110).contains(&count[&id(*n)])), "{count:?}");
 }
 
+/// Limits were split evenly by the number of agents, whatever each was asked for: the busiest of a hundred held
+/// and refused what the servers had room for. Told how little the others are asked for, it may use theirs.
+#[test]
+fn the_busiest_of_many_agents_may_use_what_the_others_leave() {
+    let at_once = |told: bool| {
+        let mut settings = settings(vec![class(Effect::Free)]);
+        (settings.balancers, settings.limits.peers) = (100, true);
+        let mut d = Driver::new(settings);
+        d.list(Scope::Complete, (1..=20).map(|n| server(n, 0)).collect());
+        for n in 0..100 {
+            if told && n % 50 == 0 {
+                let quiet = |from| Event::Peer { from, data: vec![1, 0xe8, 3, 0, 0] }; // one request a second
+                (1..100).for_each(|from| d.event(quiet(from)));
+            }
+            d.serve(n, 0, 10 * MS);
+        }
+        (1_000..1_100).for_each(|n| d.request(n, 0));
+        (1_000..1_100).filter(|n| d.attempts(*n) > 0).count()
+    };
+    assert!(at_once(false) <= 3 && at_once(true) >= 12, "{} and {}", at_once(false), at_once(true));
+}
+
 /// Where each server heard of an agent every few seconds, slow ones kept their share for a whole day.
 #[test]
 fn an_agent_with_little_traffic_keeps_to_few_servers_and_agents_differ() {
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -9,7 +9,7 @@
     Action, Balancer, Event, Limits, Listing, Micros, Outcome, Phase, Request, RequestId, Scope, ServerId,
     Settled,
 };
-use slog::{Logger, info, warn};
+use slog::{Logger, debug, info, warn};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock::Clock;
@@ -104,6 +104,7 @@
         match message {
             Message::Arrived(arrival) => self.arrived(arrival),
             Message::Left(ticket) => {
+                debug!(self.log, "client left"; "at" => self.clock.now(), "request" => self.ids.get(&ticket));
                 if let Some(id) = self.ids.remove(&ticket)
                     && let Some(open) = self.open.get_mut(&id)
                 {
@@ -114,6 +115,8 @@
             }
             Message::Ended(ended) => self.ended(ended),
             Message::Probed(server, outcome, latency, load) => {
+                debug!(self.log, "probed"; "at" => self.clock.now(), "server" => format_args!("{:016x}", server.0),
+                    "outcome" => ?outcome, "took" => latency);
                 self.event(Event::Probed { server, outcome, latency, load });
             }
             Message::Peer(from, data) => self.event(Event::Peer { from, data }),
@@ -127,6 +130,7 @@
         let Arrival { ticket, class, tenant, subject, client_retry, expires, payload, reply } = arrival;
         self.ids.insert(ticket, id);
         self.open.insert(id, Open { ticket, expires, payload, reply: Some(reply), attempts: Vec::new() });
+        debug!(self.log, "arrived"; "at" => self.clock.now(), "request" => id, "class" => class, "expires" => expires);
         let work_hint = None;
         self.event(Event::Request(Request {
             id,
@@ -150,6 +154,8 @@
         }
         let finished = self.open.get(&id).is_none_or(|o| o.reply.is_none());
         let latency = self.clock.now().saturating_sub(sent);
+        debug!(self.log, "ended"; "at" => self.clock.now(), "request" => id, "attempt" => number,
+            "server" => format_args!("{:016x}", server.0), "outcome" => ?outcome, "took" => latency);
         self.event(Event::Settled(Settled { id, server, attempt: number, outcome, latency, finished, load }));
         self.forget(id);
     }
@@ -177,6 +183,10 @@
         }
         let servers: Vec<_> = entries.into_iter().map(|e| e.server).collect();
         let entries = servers.len();
+        for server in &servers {
+            debug!(self.log, "listed"; "at" => self.clock.now(), "server" => format_args!("{:016x}", server.id.0),
+                "phase" => ?server.phase, "zone" => server.zone, "size" => server.size, "started" => ?server.started);
+        }
         self.event(Event::Members(Listing { scope, servers }));
         info!(self.log, "list told: {:?}", scope; "entries" => entries, "held" => self.servers.len());
     }
@@ -185,6 +195,11 @@
     fn answer(&mut self, id: RequestId, answer: Answer) {
         let Some(open) = self.open.get_mut(&id) else { return };
         if let Some(reply) = open.reply.take() {
+            debug!(self.log, "answered"; "at" => self.clock.now(), "request" => id, "answer" => match &answer {
+                Answer::Served(_) => "served",
+                Answer::Refused(_) => "refused",
+                Answer::Failed => "failed",
+            });
             self.ids.remove(&open.ticket);
             // A client that left in this moment has told so or will; the queue holds it.
             let _ = reply.send(answer);
@@ -255,6 +270,8 @@
             let settled = Settled { id, server, attempt, outcome, latency, finished, load };
             return self.pending.push_back(Event::Settled(settled));
         };
+        debug!(self.log, "sent"; "at" => now, "request" => id, "attempt" => number,
+            "server" => format_args!("{:016x}", server.0));
         open.attempts.push((server, now, true));
         let until = timeout.map_or(open.expires, |t| open.expires.min(now + t));
         let payload = Rc::clone(&open.payload);
--- a/crates/proxy/src/logging.rs
+++ b/crates/proxy/src/logging.rs
@@ -3,7 +3,7 @@
 use std::io::stderr;
 
 use clap::ValueEnum;
-use slog::{Drain, Logger, o};
+use slog::{Drain, Level, LevelFilter, Logger, o};
 use slog_async::{Async, AsyncGuard};
 
 /// How a record is written.
@@ -15,17 +15,36 @@
     Json,
 }
 
+/// The least grave records that are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub enum LogLevel {
+    /// What is wrong.
+    Warning,
+    /// And what happens to the proxy: lists, servers set aside, restarts.
+    Info,
+    /// And what happens to each request: several lines a request.
+    Debug,
+}
+
+/// Records that may wait to be written; more are dropped and counted in the log.
+const WAITING: (usize, usize) = (1_024, 65_536);
+
 /// The root logger. Records still queued are written when the guard is dropped.
-pub fn root(format: LogFormat, name: &str) -> (Logger, AsyncGuard) {
+pub fn root(format: LogFormat, level: LogLevel, name: &str) -> (Logger, AsyncGuard) {
+    let (least, waiting) = match level {
+        LogLevel::Warning => (Level::Warning, WAITING.0),
+        LogLevel::Info => (Level::Info, WAITING.0),
+        LogLevel::Debug => (Level::Debug, WAITING.1),
+    };
     let (drain, guard) = match format {
         LogFormat::Text => {
             let lines = slog_term::FullFormat::new(slog_term::PlainDecorator::new(stderr())).build();
-            Async::new(lines.fuse()).build_with_guard()
+            Async::new(lines.fuse()).chan_size(waiting).build_with_guard()
         }
         LogFormat::Json => {
             let lines = slog_json::Json::new(stderr()).add_default_keys().set_flush(true).build();
-            Async::new(lines.fuse()).build_with_guard()
+            Async::new(lines.fuse()).chan_size(waiting).build_with_guard()
         }
     };
-    (Logger::root(drain.fuse(), o!("proxy" => name.to_string())), guard)
+    (Logger::root(LevelFilter::new(drain, least).fuse(), o!("proxy" => name.to_string())), guard)
 }
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -22,7 +22,7 @@
 
 use clap::{Parser, Subcommand};
 use config::Config;
-use logging::LogFormat;
+use logging::{LogFormat, LogLevel};
 
 /// A client proxy with zone-first routing: own zone while a usable server is there, else the whole fleet.
 #[derive(Parser)]
@@ -33,6 +33,9 @@
     /// Form of the log on standard error.
     #[arg(long, global = true, value_enum, default_value_t = LogFormat::Text)]
     log_format: LogFormat,
+    /// The least grave records that are logged; `debug` follows each request.
+    #[arg(long, global = true, value_enum, default_value_t = LogLevel::Info)]
+    log_level: LogLevel,
 }
 
 #[derive(Subcommand)]
@@ -52,7 +55,7 @@
     let done = match cli.command {
         Command::Run => Config::read(env).and_then(|config| {
             // Lines are written by a thread of their own: guards the proxy against a slow reader of its log.
-            let (log, _guard) = logging::root(cli.log_format, &config.name);
+            let (log, _guard) = logging::root(cli.log_format, cli.log_level, &config.name);
             actix_rt::System::new().block_on(serve::run(config, log))
         }),
         Command::CheckConfig { path } => {
