Grant cold servers by what this proxy serves, and pass over those without a grant

Two causes. refill_cold took the mean of warm peers of the cold server's zone: nothing where a zone is back all cold, and near nothing at proxies with few requests. some() chose a subset first and asked for a grant after: a proxy whose few were cold held its requests for 88 ms and refused them, beside idle servers. Ruled out: news coming late (all 100 proxies are told a drain or start within 0.2 s of the first).

Change: the grant comes from what the proxy serves, spread over the servers it would use; a cold server without a grant is not in the subset, warm ones further round take its place. The zone's table of cold starts is gone.

--- a/crates/balancer/src/balance.rs
+++ b/crates/balancer/src/balance.rs
@@ -217,8 +217,8 @@
     /// Those that one of many agents keeps to, by an order of its own, before room is asked for: guards
     /// against full servers that send agents on to all. Of very many, some with room; else all of a side.
     fn some(&self, own: bool, fits: impl Fn(&&Node) -> bool, room: impl Fn(&&Node) -> bool) -> Vec<&Node> {
-        let few = (self.news.asked_of_late(self.now) * SUBSET.0).max(SUBSET.1) as usize;
-        if self.settings.warm_keys || f64::from(self.settings.balancers) <= LIMIT_FIRST {
+        let few = self.few();
+        if few == usize::MAX {
             if self.settings.warm_keys || self.fleet.side(own).len() <= WIDE {
                 return self.fleet.side(own).filter(fits).collect();
             }
@@ -226,12 +226,16 @@
             let (near, full): (Vec<&Node>, Vec<&Node>) = looked.partition(room);
             return if near.is_empty() { full } else { near };
         }
-        let mut nodes: Vec<&Node> = self.fleet.ring(own, 0).filter(fits).take(few + 1).collect();
-        match nodes.len() > few {
-            true => nodes.truncate(few),
-            false => nodes.sort_by_key(|n| n.server.id),
-        }
-        nodes
+        // Guards against waiting for cold ones while others further on have room.
+        let offered = |(i, n): &(usize, &Node)| self.warmth(n) >= 1.0 || *i < few && n.cold_left >= 1.0;
+        let ring = self.fleet.ring(own, 0).filter(fits).enumerate().filter(offered);
+        ring.map(|(_, n)| n).take(few).collect()
+    }
+
+    /// To how many servers of a side this agent keeps: to all, unless it is one of many.
+    fn few(&self) -> usize {
+        let many = !self.settings.warm_keys && f64::from(self.settings.balancers) > LIMIT_FIRST;
+        if many { (self.news.asked_of_late(self.now) * SUBSET.0).max(SUBSET.1) as usize } else { usize::MAX }
     }
 
     /// In flight in the own zone or the others, and the sum of limits there. Guards against limits on trust
@@ -262,22 +266,19 @@
         room && (self.warmth(node) >= 1.0 || node.cold_left >= 1.0)
     }
 
-    /// Grants cold servers their budget: half of what they could bear by what warm peers of their zone, or
-    /// they themselves, answer, and a little on no evidence. Less than one request in a window is granted by
-    /// chance and not saved up: guards against many agents that each keep one ready for the same server.
+    /// Grants cold servers their budget: half of what they could bear by what they answer, or by this agent's
+    /// even share of all that it has answered, and a little on no evidence. Less than one request in a window is
+    /// granted by chance and not saved up: guards against many agents that each keep one ready for the same.
     fn refill_cold(&mut self) {
         let (multiple, fall) = (self.settings.safety.fall_multiple, self.settings.safety.fall as f64);
         let least = COLD_LEAST / f64::from(self.settings.balancers) / fall;
-        let mut means = BTreeMap::new();
-        for id in self.fleet.cold_due(self.now) {
+        let due = self.fleet.cold_due(self.now);
+        let served = if due.is_empty() { 0.0 } else { self.fleet.awake().map(|n| n.oks).sum::<f64>() };
+        for id in due {
             let Some(node) = self.fleet.get(id).filter(|n| self.warmth(n) < 1.0) else { continue };
-            let mean = *means.entry(node.server.zone).or_insert_with_key(|zone| {
-                let warm = self.fleet.awake().filter(|n| n.server.zone == *zone && self.warmth(n) >= 1.0);
-                let cold =
-                    self.fleet.started_after(*zone, self.now.saturating_sub(self.settings.safety.cold));
-                let peers = (self.fleet.zone(*zone).count - cold).max(1) as f64;
-                warm.map(|n| n.oks / self.size(n)).sum::<f64>() / peers
-            });
+            let others =
+                if node.server.zone == self.settings.zone { 0 } else { self.fleet.side(false).len() };
+            let mean = served / (self.fleet.side(true).len() + others).clamp(1, self.few()) as f64;
             let carried = (mean * self.warmth(node) * self.size(node)).max(node.oks);
             let rate = multiple / 2.0 * carried / RATE_MEMORY + least;
             let (window, chance) = ((1.0 / rate).clamp(self.beat as f64, fall), self.rng.unit());
--- a/crates/balancer/src/fleet.rs
+++ b/crates/balancer/src/fleet.rs
@@ -3,7 +3,7 @@
 //!
 //! Sums are kept in whole units of 2^-32, so that they depend on no order and never drift.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 
 use rustc_hash::FxHashMap;
 
@@ -111,8 +111,7 @@
     rings: [Vec<(u64, ServerId)>; 2],
     turn: u64,
     awake: BTreeSet<ServerId>,
-    /// Those that started a while ago, and when; and when each is granted requests next.
-    cold: BTreeMap<ServerId, (ZoneId, Micros)>,
+    /// When each of those that started a while ago is granted requests next.
     grants: BTreeSet<(Micros, ServerId)>,
     silent: BTreeSet<(ClassId, ServerId)>,
     hush: Vec<Sum>,
@@ -189,8 +188,7 @@
             self.zones.resize(node.server.zone + 1, Load::default());
         }
         self.zones[node.server.zone].count(&node, 1);
-        if let Some(at) = node.server.started {
-            self.cold.insert(id, (node.server.zone, at));
+        if node.server.started.is_some() {
             self.grants.insert((node.cold_at, id));
         }
         self.line_up(&node.server);
@@ -213,7 +211,6 @@
         }
         self.awake.remove(&id);
         self.grants.remove(&(node.cold_at, id));
-        self.cold.remove(&id);
     }
 
     /// Forgets all but the listed.
@@ -344,11 +341,6 @@
         }
     }
 
-    /// How many of a zone started after that.
-    pub fn started_after(&self, zone: ZoneId, at: Micros) -> usize {
-        self.cold.values().filter(|c| c.0 == zone && c.1 > at).count()
-    }
-
     /// Who takes requests: the own zone first.
     pub fn ready(&self) -> impl Iterator<Item = &Node> {
         self.side(true).chain(self.side(false))
--- a/crates/balancer/tests/decisions.rs
+++ b/crates/balancer/tests/decisions.rs
@@ -717,6 +717,51 @@
     assert!(!sent.is_empty(), "a cold server must get its share, or it never warms");
 }
 
+/// Six in ten servers of a zone were replaced at once: agents that keep to few had only cold ones, which they
+/// held requests for, and the warm ones choked. Now the warm and the granted serve, and no cold one is pushed over.
+#[test]
+fn many_agents_bear_a_zone_of_cold_successors() {
+    let (safety, agents) = (Settings::default().safety, 100);
+    let (mut sent, mut asked, mut at_once) = (BTreeMap::<ServerId, Vec<Micros>>::new(), 0, 0);
+    for agent in 0..agents {
+        let mut d = crowd(agents, 10, free(), u64::from(agent));
+        (0..40).for_each(|n| {
+            d.serve(n, 0, 20 * MS);
+            d.pass(200 * MS);
+        });
+        let fresh = |n| Server { started: Some(d.now - 500 * MS), ..server(n, 0) };
+        let mut list: Vec<Server> = (21..=26).map(fresh).collect();
+        list.extend((1..=6).map(|n| Server { phase: Phase::Gone, ..server(n, 0) }));
+        d.list(Scope::Changes, list);
+        let (start, from) = (d.now, 1_000 + u64::from(agent % 40) * 5);
+        d.pass(from % 200 * MS);
+        for n in from..from + 20 {
+            d.request(n, 0);
+            (asked, at_once) = (asked + 1, at_once + usize::from(d.attempts(n) == 1));
+            d.pass(20 * MS);
+            if d.attempts(n) == 1 && !d.answered(n) {
+                sent.entry(d.last_server(n)).or_default().push(d.now - start);
+                d.settle(n, 0, Outcome::Ok);
+            }
+            d.pass(180 * MS);
+        }
+    }
+    // Each of ten servers had a tenth of a hundred agents' five requests a second.
+    let carried = 4.5 * f64::from(agents) / 10.0 * safety.fall as f64 / SECOND as f64;
+    let warmth =
+        |age: Micros| safety.cold_share + (1.0 - safety.cold_share) * age as f64 / safety.cold as f64;
+    for n in 21..=26 {
+        let times = sent.get(&id(n)).cloned().unwrap_or_default();
+        for at in &times {
+            let window = times.iter().filter(|t| (*at..at + safety.fall).contains(t)).count();
+            let bearable = safety.fall_multiple * warmth(at + 500 * MS) * carried;
+            assert!((window as f64) < bearable, "{window} sent to one, {bearable} bearable");
+        }
+        assert!(times.len() * 10 > asked / 10, "cold ones serve too: {} of {asked}", times.len());
+    }
+    assert!(at_once * 100 >= asked * 95, "{at_once} of {asked} sent at once");
+}
+
 #[test]
 fn a_single_shot_request_is_sent_again_only_when_it_cannot_have_run() {
     let mut d = ready(vec![class(Effect::SingleShot)]);
