Split the own zone's limits by each proxy's part of that zone's requests

A proxy's limit at a server of its zone was its part of all requests, though two thirds of those go to other zones: in bursts its zone looked full.

Change: datagrams tell the sender's zone too (6 bytes); limits at own servers are split by the part of the own zone's requests, at others by the part of all.

Test: each_learns_its_part_of_its_own_zone.

--- a/crates/balancer/src/balance.rs
+++ b/crates/balancer/src/balance.rs
@@ -192,8 +192,8 @@
                 // The same process as before keeps what is known of it; a restarted one starts anew.
                 Some(node) if node.server.started == server.started => self.fleet.update(server),
                 _ => {
-                    let (credit, share) = (self.rng.unit(), self.news.share);
-                    self.fleet.insert(Node::new(server, credit, LIMIT_FIRST, share, self.now));
+                    let share = self.news.shares[usize::from(server.zone == self.settings.zone)];
+                    self.fleet.insert(Node::new(server, self.rng.unit(), LIMIT_FIRST, share, self.now));
                 }
             }
         }
--- a/crates/balancer/src/fleet.rs
+++ b/crates/balancer/src/fleet.rs
@@ -149,12 +149,13 @@
         Some(result)
     }
 
-    /// This agent's part of what the servers carry changed: so do its limits.
-    pub fn scale(&mut self, by: f64) {
-        if by == 1.0 {
+    /// This agent's part of what the servers of other zones and of its own carry changed: so do its limits.
+    pub fn scale(&mut self, by: [f64; 2]) {
+        if by == [1.0; 2] {
             return;
         }
         for node in self.nodes.values_mut() {
+            let by = by[usize::from(node.server.zone == self.own)];
             let zone = &mut self.zones[node.server.zone];
             zone.count(node, -1);
             (node.limit, node.mine) = (node.limit * by, node.mine * by);
--- a/crates/balancer/src/news.rs
+++ b/crates/balancer/src/news.rs
@@ -1,7 +1,7 @@
 //! What agents are asked for and tell each other of it, without I/O, so that each knows its own part of what
 //! the servers carry. Nothing here decides about a request.
 //!
-//! A message has [`LENGTH`] bytes: a version, and the sender's requests in 1,000 s (little endian).
+//! A message has [`LENGTH`] bytes: a version, the sender's zone, and its requests in 1,000 s (little endian).
 //! Others are dropped. Messages may be lost, late or repeated; with every one lost, each agent takes its part
 //! for an even one.
 
@@ -11,7 +11,7 @@
 /// The version written, and the only one read.
 const VERSION: u8 = 1;
 /// Bytes in a message.
-const LENGTH: usize = 5;
+const LENGTH: usize = 6;
 /// How long requests count in the rate, and the least part of that time they are counted over at the start.
 const MEMORY: f64 = 2_000_000.0;
 const AT_START: f64 = 0.05;
@@ -34,15 +34,16 @@
     talks: bool,
     agents: usize,
     me: usize,
+    zone: u8,
     /// Requests, fading over `MEMORY`, up to when they are faded, and since when they are counted.
     asked: f64,
     faded: Micros,
     born: Option<Micros>,
-    /// Of each agent: requests a second, and when it said so.
-    heard: Vec<Option<(f64, Micros)>>,
+    /// Of each agent: requests in a microsecond, whether it is of the own zone, and when it said so.
+    heard: Vec<Option<(f64, bool, Micros)>>,
     next: Micros,
-    /// This agent's part of all requests, as used at the moment; at least an even one.
-    pub share: f64,
+    /// This agent's part of all requests, and of those of its zone; at least an even one of all.
+    pub shares: [f64; 2],
 }
 
 impl News {
@@ -55,12 +56,13 @@
             talks,
             agents,
             me,
+            zone: u8::try_from(settings.zone).unwrap_or(u8::MAX),
             asked: 0.0,
             faded: 0,
             born: None,
             heard: if talks { vec![None; agents] } else { Vec::new() },
             next: 0,
-            share: 1.0 / agents as f64,
+            shares: [1.0 / agents as f64; 2],
         }
     }
 
@@ -104,38 +106,45 @@
         }
         self.next = now + (self.every() as f64 * (0.75 + chance / 2.0)) as Micros;
         let rate = (self.rate(now) * 1e9).min(f64::from(u32::MAX)) as u32;
-        Some([&[VERSION], &rate.to_le_bytes()[..]].concat())
+        Some([&[VERSION, self.zone], &rate.to_le_bytes()[..]].concat())
     }
 
     /// Takes a message in; what is malformed, or from nobody known, is dropped.
     pub fn hear(&mut self, now: Micros, from: u32, data: &[u8]) {
-        let Ok([VERSION, rate @ ..]) = <[u8; LENGTH]>::try_from(data) else { return };
+        let Ok([VERSION, zone, rate @ ..]) = <[u8; LENGTH]>::try_from(data) else { return };
         let from = from as usize;
         if from != self.me
             && let Some(heard) = self.heard.get_mut(from)
         {
-            *heard = Some((f64::from(u32::from_le_bytes(rate)) / 1e9, now));
+            *heard = Some((f64::from(u32::from_le_bytes(rate)) / 1e9, zone == self.zone, now));
         }
     }
 
-    /// Follows this agent's part of all requests; tells by what it changed. It never falls below an even
-    /// part: guards agents with few requests against waiting for their turn.
-    pub fn follow(&mut self, now: Micros) -> f64 {
+    /// Follows this agent's parts; tells by what each changed. They never fall below an even part: guards
+    /// agents with few requests against waiting for their turn.
+    pub fn follow(&mut self, now: Micros) -> [f64; 2] {
         self.fade(now);
         let (rate, fresh) = (self.rate(now), self.every() * TURNS);
-        let known = self.heard.iter().flatten().filter(|h| now.saturating_sub(h.1) <= fresh);
-        let (count, sum) = known.fold((0, 0.0), |(count, sum), h| (count + 1, sum + h.0));
+        let (mut count, mut sums) = (0, [rate; 2]);
+        for (theirs, near, _) in self.heard.iter().flatten().filter(|h| now.saturating_sub(h.2) <= fresh) {
+            count += 1;
+            sums[0] += theirs;
+            sums[1] += if *near { *theirs } else { 0.0 };
+        }
         // Those not heard of yet are taken for usual ones; a while after the start, for gone.
         let young = self.born.is_none_or(|born| now < born + fresh);
         let missing = if young { (self.agents - 1).saturating_sub(count) as f64 } else { 0.0 };
-        let (even, all) = (1.0 / self.agents as f64, (rate + sum) * (1.0 + missing / (count + 1) as f64));
-        let share = if count == 0 || all <= 0.0 { even } else { (rate / all).clamp(even, 1.0) };
-        let by = share / self.share;
-        if (1.0 / STEP..STEP).contains(&by) {
-            return 1.0;
+        let even = 1.0 / self.agents as f64;
+        let mut moved = [1.0; 2];
+        for ((share, by), sum) in self.shares.iter_mut().zip(&mut moved).zip(sums) {
+            let all = sum * (1.0 + missing / (count + 1) as f64);
+            let new = if count == 0 || all <= 0.0 { even } else { (rate / all).clamp(even, 1.0) };
+            if !(1.0 / STEP..STEP).contains(&(new / *share)) {
+                *by = new / *share;
+                *share = new;
+            }
         }
-        self.share = share;
-        by
+        moved
     }
 }
 
@@ -174,7 +183,7 @@
                 agents.iter_mut().for_each(|agent| agent.hear(now, from as u32, &data));
             }
         }
-        agents.iter().map(|agent| agent.share).collect()
+        agents.iter().map(|agent| agent.shares[0]).collect()
     }
 
     #[test]
@@ -185,6 +194,20 @@
         assert!(shares[4] >= 1.0 / 16.0, "never below an even part: {shares:?}");
     }
 
+    /// Most of what a zone's servers carry comes from its own agents, so a part of all requests is too little there:
+    /// a fifth of all crossed zones although the own servers held two or three requests each.
+    #[test]
+    fn each_learns_its_part_of_its_own_zone() {
+        let mut agent = news(16, 0);
+        agent.follow(SECOND);
+        (0..200).for_each(|_| agent.asked(2 * SECOND));
+        let told = |zone| [VERSION, zone, 160, 134, 1, 0]; // 100 requests a second
+        (1..16).for_each(|from| agent.hear(2 * SECOND, from, &told(u8::from(from > 3))));
+        let moved = agent.follow(2 * SECOND);
+        let [all, near] = agent.shares;
+        assert!((near / all - 16.0 / 4.0).abs() < 1.0 && moved[1] > 2.0 * moved[0], "{all} {near} {moved:?}");
+    }
+
     #[test]
     fn lost_messages_leave_even_parts_and_few_do_little_harm() {
         assert_eq!(talk(&RATES, |_, _| true), vec![1.0 / 16.0; 16]);
@@ -198,9 +221,9 @@
         let mut agent = news(100, 0);
         agent.follow(SECOND);
         (0..20).for_each(|_| agent.asked(SECOND + 100_000));
-        agent.hear(SECOND + 100_000, 1, &[VERSION, 232, 3, 0, 0]); // 1 request a second
+        agent.hear(SECOND + 100_000, 1, &[VERSION, 0, 232, 3, 0, 0]); // 1 request a second
         agent.follow(SECOND + 200_000);
-        assert!(agent.share < 0.2, "{}", agent.share);
+        assert!(agent.shares[0] < 0.2, "{:?}", agent.shares);
     }
 
     /// Agents that fall silent are gone, and what they carried is this one's.
@@ -212,11 +235,11 @@
 
     #[test]
     fn what_is_malformed_or_from_nobody_known_is_dropped() {
-        let good = [VERSION, 255, 255, 255, 255];
+        let good = [VERSION, 0, 255, 255, 255, 255];
         let bad: [(u32, &[u8]); 6] = [
-            (1, &good[..4]),
+            (1, &good[..5]),
             (1, &[good.as_slice(), &[0]].concat()),
-            (1, &[VERSION + 1, 255, 255, 255, 255]),
+            (1, &[VERSION + 1, 0, 255, 255, 255, 255]),
             (1, &[]),
             (99, &good),
             (0, &good),
--- a/crates/balancer/tests/decisions.rs
+++ b/crates/balancer/tests/decisions.rs
@@ -61,7 +61,7 @@
         d.list(Scope::Complete, (1..=20).map(|n| server(n, 0)).collect());
         for n in 0..100 {
             if told && n % 50 == 0 {
-                let quiet = |from| Event::Peer { from, data: vec![1, 0xe8, 3, 0, 0] }; // one request a second
+                let quiet = |from| Event::Peer { from, data: vec![1, 0, 0xe8, 3, 0, 0] }; // one request a second
                 (1..100).for_each(|from| d.event(quiet(from)));
             }
             d.serve(n, 0, 10 * MS);
