--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -3,7 +3,8 @@
 //! A line of a script is `PARTY VERB TEXT`; parties are `clientN`, `serverN`, `discovery` and `proxy`. `>` sends
 //! the text (`\r`, `\n` escaped), `<` reads one message, `close` closes, `eof` waits until the program closes,
 //! `refuse` stops listening.
-//! `discovery list true|false UID.ZONE.STATE ...` is a line of the watch. `proxy log TEXT` waits for a line of
+//! `discovery list true|false UID.ZONE.STATE ...` is a line of the watch; a letter behind a UID names another
+//! process at the same address. `proxy log TEXT` waits for a line of
 //! the log, `proxy tells TEXT` writes it down, `proxy term` sends SIGTERM, `proxy exit` waits for the end; `proxy reload TEXT` replaces the
 //! configuration (by one that names that party as discovery, or by the text itself) and sends SIGHUP;
 //! `proxy sockets N` starts it with that many descriptors. Nothing sleeps: all wait for bytes.
@@ -156,7 +157,9 @@
         let all = words.next().expect("true or false");
         let entry = |word: &str| {
             let [uid, az, state] = word.split('.').collect::<Vec<_>>()[..] else { return word.to_string() };
-            let endpoint = self.listeners[uid].local_addr().expect("bound");
+            // `server1b` is another process at the address of `server1`.
+            let endpoint =
+                self.listeners[uid.trim_end_matches(char::is_alphabetic)].local_addr().expect("bound");
             format!(
                 r#"{{"uid":"{uid}","endpoint":"{endpoint}","az":"{az}","model":"m","pod_group":1,"state":"{state}","capacity_hint":1.0,"boot_ms":0}}"#
             )
