--- a/crates/balancer/src/balance.rs
+++ b/crates/balancer/src/balance.rs
@@ -267,7 +267,7 @@
     }
 
     /// Grants cold servers their budget: half of what they could bear by what they answer, or by this agent's
-    /// even share of all that it has answered, and a little on no evidence. Less than one request in a window is
+    /// even share of all it has answered, and a little on no evidence. Less than one request in a window is
     /// granted by chance and not saved up: guards against many agents that each keep one ready for the same.
     fn refill_cold(&mut self) {
         let (multiple, fall) = (self.settings.safety.fall_multiple, self.settings.safety.fall as f64);
