--- a/crates/balancer/src/balance.rs
+++ b/crates/balancer/src/balance.rs
@@ -108,7 +108,7 @@
             usual: settings.classes.iter().map(usual).collect(),
             mean_size: 1.0,
             beat: (aim / BEATS_PER_AIM).min(1_000_000).max(settings.tick),
-            news: News::new(&settings, seed),
+            news: News::new(&settings, f64::from(settings.balancers) > LIMIT_FIRST, seed),
             next_beat: 0,
             salt: mix(seed),
             round: 0,
@@ -234,7 +234,7 @@
 
     /// To how many servers of a side this agent keeps: to all, unless it is one of many.
     fn few(&self) -> usize {
-        let many = !self.settings.warm_keys && f64::from(self.settings.balancers) > LIMIT_FIRST;
+        let many = !self.settings.warm_keys && self.news.many;
         if many { (self.news.asked_of_late(self.now) * SUBSET.0).max(SUBSET.1) as usize } else { usize::MAX }
     }
 
@@ -274,11 +274,11 @@
         let least = COLD_LEAST / f64::from(self.settings.balancers) / fall;
         let due = self.fleet.cold_due(self.now);
         let served = if due.is_empty() { 0.0 } else { self.fleet.awake().map(|n| n.oks).sum::<f64>() };
+        let (own, few) = (self.fleet.side(true).len(), self.few());
+        let means = [own + self.fleet.side(false).len(), own].map(|n| served / n.clamp(1, few) as f64);
         for id in due {
             let Some(node) = self.fleet.get(id).filter(|n| self.warmth(n) < 1.0) else { continue };
-            let others =
-                if node.server.zone == self.settings.zone { 0 } else { self.fleet.side(false).len() };
-            let mean = served / (self.fleet.side(true).len() + others).clamp(1, self.few()) as f64;
+            let mean = means[usize::from(node.server.zone == self.settings.zone)];
             let carried = (mean * self.warmth(node) * self.size(node)).max(node.oks);
             let rate = multiple / 2.0 * carried / RATE_MEMORY + least;
             let (window, chance) = ((1.0 / rate).clamp(self.beat as f64, fall), self.rng.unit());
--- a/crates/balancer/src/fleet.rs
+++ b/crates/balancer/src/fleet.rs
@@ -136,13 +136,19 @@
         self.nodes.len()
     }
 
-    /// Changes what is known of a server; it is looked after from now on.
-    pub fn change<R>(&mut self, id: ServerId, change: impl FnOnce(&mut Node) -> R) -> Option<R> {
-        let node = self.nodes.get_mut(&id)?;
-        let zone = &mut self.zones[node.server.zone];
+    /// Changes a server, and the sums of its zone with it.
+    fn recount<R>(zones: &mut [Load], node: &mut Node, change: impl FnOnce(&mut Node) -> R) -> R {
+        let zone = &mut zones[node.server.zone];
         zone.count(node, -1);
         let result = change(node);
         zone.count(node, 1);
+        result
+    }
+
+    /// Changes what is known of a server; it is looked after from now on.
+    pub fn change<R>(&mut self, id: ServerId, change: impl FnOnce(&mut Node) -> R) -> Option<R> {
+        let node = self.nodes.get_mut(&id)?;
+        let result = Self::recount(&mut self.zones, node, change);
         if !std::mem::replace(&mut node.awake, true) {
             self.awake.insert(id);
         }
@@ -156,10 +162,7 @@
         }
         for node in self.nodes.values_mut() {
             let by = by[usize::from(node.server.zone == self.own)];
-            let zone = &mut self.zones[node.server.zone];
-            zone.count(node, -1);
-            (node.limit, node.mine) = (node.limit * by, node.mine * by);
-            zone.count(node, 1);
+            Self::recount(&mut self.zones, node, |n| (n.limit, n.mine) = (n.limit * by, n.mine * by));
         }
     }
 
--- a/crates/balancer/src/news.rs
+++ b/crates/balancer/src/news.rs
@@ -15,8 +15,6 @@
 /// How long requests count in the rate, and the least part of that time they are counted over at the start.
 const MEMORY: f64 = 2_000_000.0;
 const AT_START: f64 = 0.05;
-/// So few agents need no news: an even part of the limits is room for several requests at each.
-const FEW: usize = 12;
 /// First message after about this, then one each so often, or so much later for each agent that every
 /// receiver has no more than a hundred a second.
 const FIRST: f64 = 250_000.0;
@@ -30,12 +28,14 @@
 /// What this agent is asked for, what others said of themselves of late, and when this one speaks next.
 pub(crate) struct News {
     rng: Rng,
-    /// Whether agents may talk at all, how many there are, and who this one is.
+    /// Whether there are so many agents that an even part of a limit is less than one request.
+    pub many: bool,
+    /// Whether agents talk at all, how many there are, and who this one is.
     talks: bool,
     agents: usize,
     me: usize,
     zone: u8,
-    /// Requests, fading over `MEMORY`, up to when they are faded, and since when they are counted.
+    /// Requests, fading over `MEMORY`, up to when they are faded, and when the shares were first followed.
     asked: f64,
     faded: Micros,
     born: Option<Micros>,
@@ -47,12 +47,13 @@
 }
 
 impl News {
-    /// Nothing heard yet.
-    pub fn new(settings: &Settings, seed: u64) -> Self {
+    /// Nothing heard yet. Only where agents are `many` is there need of news.
+    pub fn new(settings: &Settings, many: bool, seed: u64) -> Self {
         let (agents, me) = (settings.balancers.max(1) as usize, settings.me as usize);
-        let talks = settings.limits.peers && agents > FEW;
+        let talks = settings.limits.peers && many;
         News {
             rng: Rng(mix(!seed)),
+            many,
             talks,
             agents,
             me,
@@ -68,19 +69,17 @@
 
     /// A request came.
     pub fn asked(&mut self, now: Micros) {
-        self.fade(now);
-        self.asked += 1.0;
+        (self.asked, self.faded) = (self.left(now) + 1.0, now);
     }
 
-    fn fade(&mut self, now: Micros) {
-        self.born.get_or_insert(now);
-        self.asked *= (-(now.saturating_sub(self.faded) as f64) / MEMORY).exp();
-        self.faded = now;
+    /// What is left of the requests by now.
+    fn left(&self, now: Micros) -> f64 {
+        self.asked * (-(now.saturating_sub(self.faded) as f64) / MEMORY).exp()
     }
 
     /// What this agent is asked for of late, in requests in a microsecond; rises from nothing at the start.
     pub fn asked_of_late(&self, now: Micros) -> f64 {
-        self.asked * (-(now.saturating_sub(self.faded) as f64) / MEMORY).exp() / MEMORY
+        self.left(now) / MEMORY
     }
 
     /// The same, without that rise.
@@ -123,7 +122,10 @@
     /// Follows this agent's parts; tells by what each changed. They never fall below an even part: guards
     /// agents with few requests against waiting for their turn.
     pub fn follow(&mut self, now: Micros) -> [f64; 2] {
-        self.fade(now);
+        if !self.talks {
+            return [1.0; 2];
+        }
+        let born = *self.born.get_or_insert(now);
         let (rate, fresh) = (self.rate(now), self.every() * TURNS);
         let (mut count, mut sums) = (0, [rate; 2]);
         for (theirs, near, _) in self.heard.iter().flatten().filter(|h| now.saturating_sub(h.2) <= fresh) {
@@ -132,8 +134,7 @@
             sums[1] += if *near { *theirs } else { 0.0 };
         }
         // Those not heard of yet are taken for usual ones; a while after the start, for gone.
-        let young = self.born.is_none_or(|born| now < born + fresh);
-        let missing = if young { (self.agents - 1).saturating_sub(count) as f64 } else { 0.0 };
+        let missing = if now < born + fresh { (self.agents - 1).saturating_sub(count) as f64 } else { 0.0 };
         let even = 1.0 / self.agents as f64;
         let mut moved = [1.0; 2];
         for ((share, by), sum) in self.shares.iter_mut().zip(&mut moved).zip(sums) {
@@ -166,7 +167,7 @@
             ..Settings::default()
         };
         settings.limits.peers = true;
-        News::new(&settings, u64::from(me) + 1)
+        News::new(&settings, true, u64::from(me) + 1)
     }
 
     /// Agents that talk for ten seconds, each asked so often a second; tells the parts they found.
--- a/crates/proxy/tests/common/mod.rs
+++ b/crates/proxy/tests/common/mod.rs
@@ -21,8 +21,17 @@
 /// What never comes fails the test after this.
 const PATIENCE: Duration = Duration::from_secs(20);
 
+/// A program that ends with the test, whatever becomes of it: one left over holds the test's own output open.
+pub struct Running(pub Child);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let _ = (self.0.kill(), self.0.wait());
+    }
+}
+
 pub struct Proxy {
-    child: Child,
+    child: Running,
     config: NamedTempFile,
     log: BufReader<ChildStderr>,
     listen: String,
@@ -32,13 +41,6 @@
     rev: u64,
 }
 
-impl Drop for Proxy {
-    fn drop(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 /// Runs the program with a configuration file of that text, for as long as it is needed.
 pub fn start(config: &str) -> (Child, NamedTempFile) {
     let file = NamedTempFile::new().expect("a file");
@@ -67,8 +69,9 @@
     let discovery = listeners["discovery"].local_addr().expect("bound").to_string();
     let sockets = script.lines().find_map(|line| line.strip_prefix("proxy sockets ")).unwrap_or("1024");
     let config = config(&discovery).replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
-    let (mut child, config) = start(&config);
-    let log = BufReader::new(child.stderr.take().expect("piped"));
+    let (child, config) = start(&config);
+    let mut child = Running(child);
+    let log = BufReader::new(child.0.stderr.take().expect("piped"));
     let (listen, open, said) = Default::default();
     let mut proxy = Proxy { child, config, log, listen, listeners, open, said, rev: 0 };
     let serving = proxy.wait_log("listen: ");
@@ -102,7 +105,7 @@
                 self.signal("-HUP");
             }
             ("proxy", "exit") => {
-                let status = self.child.wait().expect("it ends");
+                let status = self.child.0.wait().expect("it ends");
                 self.said += &format!("proxy exit {}\n", status.code().unwrap_or(-1));
             }
             (_, "list") => {
@@ -131,7 +134,7 @@
     }
 
     fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
+        let id = self.child.0.id().to_string();
         assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
     }
 
--- a/crates/proxy/tests/exchanges.rs
+++ b/crates/proxy/tests/exchanges.rs
@@ -8,7 +8,7 @@
 use std::process::{Command, Output};
 use std::time::Duration;
 
-use common::{play, start};
+use common::{Running, play, start};
 
 macro_rules! exchanges {
     ($($name:ident)*) => {$(
@@ -67,23 +67,14 @@
     std::fs::write(file.path(), text).expect("written");
     let mut command = Command::new(env!("CARGO_BIN_EXE_ironmast"));
     command.args(["run", "--log-format", "json"]).env("GW_CONFIG", file.path());
-    let mut child = command.stderr(std::process::Stdio::piped()).spawn().expect("it starts");
+    let mut child = Running(command.stderr(std::process::Stdio::piped()).spawn().expect("it starts"));
     let mut line = String::new();
-    let log = child.stderr.take().expect("piped");
-    std::io::BufRead::read_line(&mut std::io::BufReader::new(log), &mut line).expect("a line");
-    let _ = (child.kill(), child.wait());
+    let log = child.0.stderr.take().expect("piped");
+    BufReader::new(log).read_line(&mut line).expect("a line");
     let record: serde_json::Value = serde_json::from_str(&line).expect("an object");
     assert_eq!((record["proxy"].as_str(), record["level"].as_str()), (Some("n1"), Some("INFO")), "{line}");
 }
 
-/// A program that ends with the test, whatever becomes of it.
-struct Killed(std::process::Child);
-
-impl Drop for Killed {
-    fn drop(&mut self) {
-        let _ = (self.0.kill(), self.0.wait());
-    }
-}
 /// One of many proxies, restarted with a stale list while discovery says nothing and its peers talk
 /// nonsense: it serves from the list, tells its rate in six bytes, and does not fill its log.
 #[test]
@@ -113,7 +104,7 @@
             ),
         );
     let (child, _file) = start(&config);
-    let mut child = Killed(child);
+    let mut child = Running(child);
     let mut log = BufReader::new(child.0.stderr.take().expect("piped"));
     let mut line = String::new();
     while !line.contains("listen: ") {
--- a/tools/fleet_counts.py
+++ b/tools/fleet_counts.py
@@ -4,8 +4,8 @@
     tools/fleet_counts.py LOGS [--step SECONDS] [--servers]
 
 LOGS is a folder of files like n0.log, written by `ironmast run --log-level debug`. Prints, by steps of time:
-requests, answers, attempts by outcome and probes over all proxies; then how sends and answers are spread over
-proxies and servers, and how long after the first proxy the median and the last one were told each change.
+requests, answers, attempts by outcome and probes over all proxies; then how requests are spread over proxies and
+sends and probes over servers, and how long after the first proxy the median and the last one were told each change.
 """
 import argparse, collections, pathlib, re, statistics, sys
 
@@ -17,7 +17,7 @@
     records = []
     for path in sorted(pathlib.Path(folder).glob("*.log")):
         for line in path.open(errors="replace"):
-            head, mark, rest = line.partition(" DEBG ")
+            _, mark, rest = line.partition(" DEBG ")
             if not mark:
                 continue
             what, _, tail = rest.partition(", ")
@@ -48,22 +48,21 @@
     outcomes, answers = set(), set()
     arrived, sent, zones = {}, {}, {}
     waits, refused_after = collections.defaultdict(list), []
-    by_proxy, by_server = collections.defaultdict(collections.Counter), collections.defaultdict(collections.Counter)
+    by_proxy, by_server = collections.Counter(), collections.defaultdict(collections.Counter)
     told = collections.defaultdict(dict)
     for at, proxy, what, f in records:
-        step = steps[int((at - start) / 1e6 / args.step)]
+        n = int((at - start) / 1e6 / args.step)
+        step = steps[n]
         request = (proxy, f.get("request"))
         if what == "arrived":
             arrived[request] = at
             step["asked"] += 1
-            by_proxy[proxy]["asked"] += 1
+            by_proxy[proxy] += 1
         elif what == "sent":
             if f["attempt"] == "0":
-                waits[int((at - start) / 1e6 / args.step)].append(at - arrived.get(request, at))
+                waits[n].append(at - arrived.get(request, at))
             step["sent"] += 1
-            by_proxy[proxy]["sent"] += 1
             by_server[f["server"]]["sent"] += 1
-            by_server[f["server"]].setdefault("proxies", 0)
             sent.setdefault(f["server"], set()).add(proxy)
         elif what == "ended":
             outcomes.add(f["outcome"])
@@ -72,7 +71,6 @@
         elif what == "answered":
             answers.add(f["answer"])
             step[f["answer"]] += 1
-            by_proxy[proxy][f["answer"]] += 1
             if f["answer"] == "refused":
                 refused_after.append((at - arrived.get(request, at)) // 1000)
         elif what == "probed":
@@ -89,7 +87,7 @@
         wait = waits[n] or [0]
         row = " ".join(f"{steps[n][c]:>9}" for c in columns)
         print(f"{n * args.step:>7.1f} {row}   {statistics.mean(wait) / 1e3:8.1f} {max(wait) / 1e3:8.1f}")
-    print("\nrequests by proxy:", quantiles([c["asked"] for c in by_proxy.values()]))
+    print("\nrequests by proxy:", quantiles(by_proxy.values()))
     print("refused after ms:", quantiles(refused_after))
     for zone in sorted(set(zones.values())):
         here = [s for s in zones if zones[s] == zone]
@@ -107,7 +105,7 @@
     if args.servers:
         print()
         for server, counts in sorted(by_server.items(), key=lambda s: (zones.get(s[0], ""), s[0])):
-            print(server, "zone", zones.get(server), dict(counts))
+            print(server, "zone", zones.get(server), "proxies", len(sent.get(server, ())), dict(counts))
 
 
 if __name__ == "__main__":
