--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -448,6 +448,14 @@
         /// The attempt.
         attempt: u32,
     },
+    /// The last byte of a request has come that arrived while its body was still on the way: its client's time
+    /// counts from now, and no attempt at it has run before.
+    Whole {
+        /// The request.
+        id: RequestId,
+        /// Clock reading at which the client gives up.
+        expires: Micros,
+    },
     /// The client left; nothing more is owed.
     HungUp {
         /// The request.
--- a/crates/balancer/src/balance.rs
+++ b/crates/balancer/src/balance.rs
@@ -129,12 +129,14 @@
             Event::Request(request) => self.request(request, out),
             Event::Settled(settled) => self.settled(settled, out),
             Event::Started { id, .. } => _ = self.open.get_mut(&id).map(|open| open.streaming = true),
+            Event::Whole { id, expires } => {
+                self.due.extend(self.open.get_mut(&id).map(|o| o.whole(self.now, expires)))
+            }
             Event::HungUp { id } => self.close(id, out),
-            Event::Timer { token } if self.armed == Some(token) => self.armed = None,
+            Event::Timer { token } => self.armed = self.armed.filter(|at| *at != token),
             Event::Members(listing) => self.members(listing, out),
             Event::Probed { server, outcome, .. } => self.probed(server, outcome),
             Event::Peer { from, data } => self.news.hear(self.now, from, &data),
-            Event::Timer { .. } => {} // one that is no longer wanted
         }
         self.run_due(out);
     }
@@ -182,9 +184,7 @@
         if listing.scope != Scope::Cached {
             (self.ask_at, self.ask_wait) = (None, within / ASK_AGAIN.0);
         }
-        if listing.scope != Scope::Changes {
-            self.fleet.keep(&listing.servers.iter().map(|s| s.id).collect());
-        }
+        self.fleet.keep(&listing);
         for server in listing.servers {
             match self.fleet.get(server.id) {
                 // Guards rule 3: who is gone is forgotten, and who drains is never a candidate, from now on.
--- a/crates/balancer/src/fleet.rs
+++ b/crates/balancer/src/fleet.rs
@@ -217,8 +217,12 @@
         self.grants.remove(&(node.cold_at, id));
     }
 
-    /// Forgets all but the listed.
-    pub fn keep(&mut self, listed: &BTreeSet<ServerId>) {
+    /// Forgets who is missing from a whole list.
+    pub fn keep(&mut self, listing: &Listing) {
+        if listing.scope == Scope::Changes {
+            return;
+        }
+        let listed: BTreeSet<ServerId> = listing.servers.iter().map(|s| s.id).collect();
         let gone: Vec<ServerId> = self.nodes.keys().filter(|id| !listed.contains(id)).copied().collect();
         gone.into_iter().for_each(|id| self.remove(id));
     }
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -59,6 +59,16 @@
         Open { request, turn, spill_at, aim_at, unsent_until, last, attempts: Vec::new(), done, streaming }
     }
 
+    /// Its last byte has come: aim and end count from now, and what is out was sent now. Tells when it
+    /// is to be ended.
+    pub fn whole(&mut self, now: Micros, expires: Micros) -> (Micros, RequestId) {
+        let (margin, arrived) = (self.request.expires.saturating_sub(self.last), self.turn.1.0);
+        (self.request.expires, self.last) = (expires, expires.saturating_sub(margin));
+        self.aim_at = now + self.aim_at.saturating_sub(arrived);
+        self.attempts.iter_mut().filter(|a| a.outcome.is_none()).for_each(|a| a.sent = now);
+        (self.last, self.request.id)
+    }
+
     pub fn tries_left(&self, limits: &Limits) -> bool {
         self.attempts.len() < limits.most_tries as usize
     }
--- a/crates/emulator/src/policy.rs
+++ b/crates/emulator/src/policy.rs
@@ -393,7 +393,7 @@
             }
             Event::Timer { token: ASK } => out.push(Action::Subscribe(true)),
             Event::Timer { token } => self.end(token, out),
-            Event::Started { .. } | Event::Probed { .. } | Event::Peer { .. } => {}
+            Event::Started { .. } | Event::Whole { .. } | Event::Probed { .. } | Event::Peer { .. } => {}
         }
     }
 }
--- a/crates/operations/src/admin.rs
+++ b/crates/operations/src/admin.rs
@@ -230,7 +230,8 @@
     /// Whatever discovery says, in whatever order, a server that is out is never shown as one to use.
     #[test]
     fn no_order_of_news_shows_a_banned_server_as_ready() {
-        let says: [(Scope, &[(&str, &str, u64)]); 7] = [
+        type Told = (&'static str, &'static str, u64);
+        let says: [(Scope, &[Told]); 7] = [
             (Scope::Changes, &[("s1", "up", 6_000)]),
             (Scope::Changes, &[("s1", "removed", 0)]),
             (Scope::Changes, &[("s1", "draining", 1_000)]),
--- /dev/null
+++ b/crates/proxy/src/bodies.rs
@@ -0,0 +1,350 @@
+//! Bodies that are too long to be held: how they flow, what is held of all of them, and how long a client may
+//! take over one.
+
+use std::cell::{Cell, RefCell};
+use std::fmt;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::Stream;
+use ironmast_balancer::Micros;
+use tokio::sync::Notify;
+use tokio::time::{Sleep, sleep};
+
+use crate::clock::Clock;
+
+/// A body of up to this many bytes is held whole: it can be checked and sent again.
+pub const HELD_MOST: usize = 64 * 1024;
+/// A body holds no more than this many bytes: 32 MB by whatever count, and room for framing.
+pub const BODY_MOST: usize = 36 << 20;
+/// What a body that flows may hold at one time, in the libraries' buffers and ours.
+const WINDOW: usize = 256 * 1024;
+/// Of the memory a proxy may have, the part that bodies may hold: one in so many.
+const PART: usize = 3;
+
+/// Half a request is owed an end within 3 s: one that has not come whole by then must have kept this pace.
+pub const PATIENCE: Micros = 2_200_000;
+/// A client sends at least so many bytes of a body a second (64,000 are agreed), after a start of so long.
+const PACE: u64 = 60_000;
+const START: Micros = 500_000;
+/// A pay server that sends nothing more of an answer for this long has broken off.
+const BROKEN_OFF: Duration = Duration::from_secs(5);
+
+/// Bytes of bodies that are held, over all connections. The one owner of that sum.
+#[derive(Clone)]
+pub struct Held {
+    most: usize,
+    now: Rc<Cell<usize>>,
+    returned: Rc<Notify>,
+}
+
+impl Held {
+    /// What a proxy with so many MB may hold.
+    pub fn new(memory_mb: usize) -> Self {
+        let most = ((memory_mb << 20) / PART).max(WINDOW);
+        Held { most, now: Rc::default(), returned: Rc::default() }
+    }
+
+    /// Counts a body that is held whole. It is never made to wait: the number of connections bounds the sum.
+    pub fn count(&self) -> Hold {
+        Hold { of: self.clone(), bytes: 0 }
+    }
+
+    /// Waits until there is room for the window of one more body that flows, and counts it.
+    pub async fn window(&self) -> Hold {
+        while self.now.get() + WINDOW > self.most {
+            self.returned.notified().await;
+        }
+        let mut hold = self.count();
+        hold.grow(WINDOW);
+        // Whoever waits next looks for itself.
+        self.returned.notify_one();
+        hold
+    }
+}
+
+/// A part of what is held, given back on drop and nowhere else.
+pub struct Hold {
+    of: Held,
+    bytes: usize,
+}
+
+impl Hold {
+    /// So many more.
+    pub fn grow(&mut self, bytes: usize) {
+        self.bytes += bytes;
+        self.of.now.set(self.of.now.get() + bytes);
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.of.now.set(self.of.now.get() - self.bytes);
+        self.of.returned.notify_one();
+    }
+}
+
+/// How long a client may still take over a request's body, told what comes and when it is waited for.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// Whatever the pace, it has until then: a short request may be written slowly.
+    first: Micros,
+    received: u64,
+    waited: Micros,
+    since: Option<Micros>,
+}
+
+impl Pace {
+    /// For a request whose first byte came at `begun` and whose head is whole.
+    pub fn new(begun: Micros) -> Self {
+        Pace { first: begun + PATIENCE, received: 0, waited: 0, since: None }
+    }
+
+    /// More is waited for at `now`.
+    pub fn waits(&mut self, now: Micros) {
+        self.since.get_or_insert(now);
+    }
+
+    /// So many bytes came, or the end.
+    pub fn came(&mut self, now: Micros, bytes: usize) {
+        self.waited += self.since.take().map_or(0, |since| now.saturating_sub(since));
+        self.received += bytes as u64;
+    }
+
+    /// When it is too late for more; never while nothing is waited for.
+    pub fn late_at(&self) -> Option<Micros> {
+        let may_take = START + self.received.saturating_mul(1_000_000) / PACE;
+        self.since.map(|since| self.first.max(since + may_take.saturating_sub(self.waited)))
+    }
+}
+
+/// What arrives of a body; an error where it breaks off.
+pub type Parts = Pin<Box<dyn Stream<Item = Result<Bytes, io::Error>>>>;
+
+/// The body of a request that flows from its client to a pay server.
+pub struct Inflow {
+    /// Its length, where the client told it.
+    pub length: Option<u64>,
+    clock: Clock,
+    pace: Rc<Cell<Pace>>,
+    first: RefCell<Bytes>,
+    rest: RefCell<Parts>,
+    /// Some of the rest has been drawn: it can't be sent again.
+    drawn: Cell<bool>,
+    /// All of it has been drawn, or it broke off.
+    ended: Cell<bool>,
+    broken: Cell<bool>,
+    broke: Notify,
+    /// Told once, when the last byte has been drawn.
+    whole: RefCell<Option<Box<dyn FnOnce()>>>,
+    _hold: Hold,
+}
+
+impl fmt::Debug for Inflow {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Inflow")
+            .field("length", &self.length)
+            .field("drawn", &self.drawn)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Inflow {
+    /// A body of which `first` has come; `whole` is called when its last byte has been drawn.
+    pub fn new(
+        (first, rest): (Bytes, Parts),
+        length: Option<u64>,
+        clock: Clock,
+        pace: Rc<Cell<Pace>>,
+        hold: Hold,
+        whole: impl FnOnce() + 'static,
+    ) -> Self {
+        let (drawn, ended, broken, broke) = Default::default();
+        let (first, rest) = (RefCell::new(first), RefCell::new(rest));
+        let whole = RefCell::new(Some(Box::new(whole) as Box<dyn FnOnce()>));
+        Inflow { length, clock, pace, first, rest, drawn, ended, broken, broke, whole, _hold: hold }
+    }
+
+    /// Whether it is still held whole, so that another attempt may have it.
+    pub fn held_whole(&self) -> bool {
+        !self.drawn.get()
+    }
+
+    /// Whether its last byte has been drawn. Until then no attempt can have run.
+    pub fn is_whole(&self) -> bool {
+        self.ended.get()
+    }
+
+    /// Whether the client broke off.
+    pub fn is_broken(&self) -> bool {
+        self.broken.get()
+    }
+
+    /// Waits until the client breaks off.
+    pub async fn broken(&self) {
+        while !self.broken.get() {
+            self.broke.notified().await;
+        }
+    }
+
+    /// The whole of it, for one attempt.
+    pub fn stream(self: Rc<Self>) -> impl Stream<Item = Result<Bytes, io::Error>> {
+        let first = Some(self.first.borrow().clone());
+        Drawing { first, of: self }
+    }
+
+    fn poll_rest(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, io::Error>>> {
+        let (polled, mut pace) = (self.rest.borrow_mut().as_mut().poll_next(cx), self.pace.get());
+        let Poll::Ready(item) = polled else {
+            pace.waits(self.clock.now());
+            self.pace.set(pace);
+            return Poll::Pending;
+        };
+        pace.came(self.clock.now(), item.as_ref().map_or(0, |part| part.as_ref().map_or(0, Bytes::len)));
+        self.pace.set(pace);
+        if !self.drawn.replace(true) {
+            // It is of no more use.
+            self.first.take();
+        }
+        match &item {
+            Some(Ok(_)) => {}
+            Some(Err(_)) => {
+                self.broken.set(true);
+                self.broke.notify_one();
+            }
+            None => {
+                self.ended.set(true);
+                if let Some(whole) = self.whole.take() {
+                    whole();
+                }
+            }
+        }
+        Poll::Ready(item)
+    }
+}
+
+struct Drawing {
+    first: Option<Bytes>,
+    of: Rc<Inflow>,
+}
+
+impl Stream for Drawing {
+    type Item = Result<Bytes, io::Error>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        match self.first.take() {
+            Some(first) => Poll::Ready(Some(Ok(first))),
+            None => self.of.poll_rest(cx),
+        }
+    }
+}
+
+/// The body of an answer that flows from a pay server to its client.
+pub struct Outflow {
+    /// Its length, where the pay server told it.
+    pub length: Option<u64>,
+    parts: Parts,
+    silence: Pin<Box<Sleep>>,
+    waits: bool,
+    _hold: Hold,
+}
+
+impl Outflow {
+    /// What comes of an answer that has begun.
+    pub fn new(length: Option<u64>, parts: Parts, hold: Hold) -> Self {
+        Outflow { length, parts, silence: Box::pin(sleep(BROKEN_OFF)), waits: false, _hold: hold }
+    }
+}
+
+impl fmt::Debug for Outflow {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Outflow").field("length", &self.length).finish_non_exhaustive()
+    }
+}
+
+impl Stream for Outflow {
+    type Item = Result<Bytes, io::Error>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        if let Poll::Ready(item) = self.parts.as_mut().poll_next(cx) {
+            self.waits = false;
+            return Poll::Ready(item);
+        }
+        // Counted from when the client could take more: a slow client is no silent server.
+        if !std::mem::replace(&mut self.waits, true) {
+            let until = tokio::time::Instant::now() + BROKEN_OFF;
+            self.silence.as_mut().reset(until);
+        }
+        ready!(self.silence.as_mut().poll(cx));
+        Poll::Ready(Some(Err(io::Error::new(io::ErrorKind::TimedOut, "the pay server fell silent"))))
+    }
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum Body {
+    /// Held whole.
+    Whole(Bytes),
+    /// On its way.
+    Flowing(Outflow),
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_client_that_keeps_the_agreed_pace_is_never_late() {
+        // The head took 2 s; then 64,000 bytes a second, in pieces of 0.1 s.
+        let mut pace = Pace::new(0);
+        let mut now = 2_000_000;
+        for _ in 0..2_000 {
+            pace.waits(now);
+            assert!(pace.late_at().expect("waited for") > now + 100_000, "at {now}");
+            now += 100_000;
+            pace.came(now, 6_400);
+        }
+    }
+
+    #[test]
+    fn a_client_that_stops_half_way_is_late_within_three_seconds_and_never_while_it_is_not_waited_for() {
+        for received in [0, 100, 32 * 1024, HELD_MOST] {
+            let mut pace = Pace::new(0);
+            pace.came(10_000, received);
+            assert_eq!(pace.late_at(), None, "a slow pay server holds it up, not the client");
+            pace.waits(10_000);
+            let late = pace.late_at().expect("waited for");
+            assert!((PATIENCE..2_800_000).contains(&late), "{received}: {late}");
+        }
+        // A drip does not help for long.
+        let mut pace = Pace::new(0);
+        let mut now = 0;
+        while now < 60_000_000 {
+            pace.waits(now);
+            if pace.late_at().expect("waited for") < now + 1_000_000 {
+                break;
+            }
+            now += 1_000_000;
+            pace.came(now, 1);
+        }
+        assert!(now < 4_000_000, "{now}");
+    }
+
+    #[tokio::test]
+    async fn windows_wait_for_room_and_give_it_back() {
+        let held = Held::new(1);
+        let mut small = held.count();
+        small.grow(100);
+        let one = held.window().await;
+        let waits = tokio::time::timeout(Duration::from_millis(20), held.window()).await;
+        assert!(waits.is_err(), "a third of one MB has room for one window");
+        drop(one);
+        drop(held.window().await);
+        drop(small);
+        assert_eq!(held.now.get(), 0);
+    }
+}
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -22,6 +22,8 @@
     pub seed: u64,
     /// Descriptors that may be held.
     pub sockets: usize,
+    /// Memory that may be held, in MB.
+    pub memory_mb: usize,
     /// Where datagrams arrive, if peers may talk.
     pub peer_listen: Option<SocketAddr>,
     /// Every proxy of the tier, by number.
@@ -60,6 +62,7 @@
 #[derive(Default, Deserialize)]
 struct FileLimits {
     sockets: Option<usize>,
+    memory_mb: Option<usize>,
 }
 
 impl Config {
@@ -92,6 +95,7 @@
             ops: ops.map(|value| parse("GW_OPS", value)).transpose()?,
             seed: u64::from_str_radix(&seed, 16).map_err(|_| format!("seed: `{seed}` is not hex digits"))?,
             sockets: file.limits.sockets.unwrap_or(1024),
+            memory_mb: file.limits.memory_mb.unwrap_or(64),
             peer_listen: file.peer_listen,
             peers: file.peers,
             peers_all: file.peers_all,
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -35,6 +35,8 @@
     ticket: Ticket,
     expires: Micros,
     payload: Rc<Payload>,
+    /// When its last byte came, where that was after its arrival here.
+    whole: Micros,
     /// Taken by the one final answer.
     reply: Option<oneshot::Sender<Answer>>,
     /// Of each attempt: the server, when it was sent, and whether it is out.
@@ -138,6 +140,7 @@
                     self.forget(id);
                 }
             }
+            Message::Whole(ticket) => self.whole(ticket),
             Message::Ended(ended) => self.ended(ended),
             Message::Probed(server, outcome, latency, load) => {
                 debug!(self.log, "probed"; "at" => self.clock.now(), "server" => format_args!("{:016x}", server.0),
@@ -215,7 +218,10 @@
         let id = self.last_id;
         let Arrival { ticket, class, tenant, subject, client_retry, expires, payload, reply } = arrival;
         self.ids.insert(ticket, id);
-        self.open.insert(id, Open { ticket, expires, payload, reply: Some(reply), attempts: Vec::new() });
+        self.open.insert(
+            id,
+            Open { ticket, expires, payload, whole: 0, reply: Some(reply), attempts: Vec::new() },
+        );
         debug!(self.log, "arrived"; "at" => self.clock.now(), "request" => id, "class" => class, "expires" => expires);
         let work_hint = None;
         self.event(Event::Request(Request {
@@ -229,12 +235,23 @@
         }));
     }
 
+    /// The client's time begins.
+    fn whole(&mut self, ticket: Ticket) {
+        let Some((&id, now)) = self.ids.get(&ticket).map(|id| (id, self.clock.now())) else { return };
+        let Some(open) = self.open.get_mut(&id) else { return };
+        (open.whole, open.expires) = (now, now + open.payload.left);
+        let expires = open.expires;
+        debug!(self.log, "whole"; "at" => now, "request" => id, "expires" => expires);
+        self.event(Event::Whole { id, expires });
+    }
+
     fn ended(&mut self, ended: Ended) {
         let Ended { id, number, outcome, body, load } = ended;
         let Some(open) = self.open.get_mut(&id) else { return };
         let Some(attempt) = open.attempts.get_mut(number as usize).filter(|a| a.2) else { return };
         attempt.2 = false;
-        let (server, sent, _) = *attempt;
+        // No server is slow for the time its client took.
+        let (server, sent) = (attempt.0, attempt.1.max(open.whole));
         if outcome == Outcome::Ok {
             self.answer(id, Answer::Served(body));
         }
@@ -346,11 +363,14 @@
         };
         let number = open.attempts.len() as u32;
         // Guards rule 2 whatever the module asks: never more attempts, or together, than is permitted.
-        let over = open.reply.is_none() || number >= self.settings.limits.most_tries || now >= open.expires;
+        let gone = open.payload.flow().is_some_and(|flow| !flow.held_whole());
+        let over =
+            open.reply.is_none() || number >= self.settings.limits.most_tries || now >= open.expires || gone;
         let together = !self.settings.limits.may_duplicate && open.out();
         let address = self.servers.get(&server).map(|s| s.0);
         let (true, Some(address)) = (!over && !together, address) else {
-            warn!(self.log, "a send that may not be"; "request" => id, "server" => server.0);
+            let why = if gone { "its body has been drawn already" } else { "it is over" };
+            debug!(self.log, "a send that may not be"; "request" => id, "server" => server.0, "why" => why);
             open.attempts.push((server, now, false));
             let (outcome, finished) = (Outcome::Moot, open.reply.is_none());
             let (attempt, latency, load) = (number, 0, None);
@@ -360,6 +380,8 @@
         debug!(self.log, "sent"; "at" => now, "request" => id, "attempt" => number,
             "server" => format_args!("{:016x}", server.0));
         open.attempts.push((server, now, true));
+        // While a body flows, the module ends an attempt when the client's time is up.
+        let timeout = timeout.filter(|_| open.payload.flow().is_none());
         let until = timeout.map_or(open.expires, |t| open.expires.min(now + t));
         let payload = Rc::clone(&open.payload);
         let _ =
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -4,10 +4,11 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::body::BoxBody;
+use actix_http::body::{BodyStream, BoxBody, SizedStream};
 use actix_http::header::{ALLOW, CONTENT_LENGTH, HeaderValue, RETRY_AFTER};
 use actix_http::{
     ConnectionType, Extensions, HttpMessage as _, HttpService, KeepAlive, Method, Request, Response,
@@ -15,7 +16,7 @@
 };
 use actix_service::{Service as _, ServiceFactory as _, fn_service};
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt as _;
+use futures_util::{StreamExt as _, TryStreamExt as _};
 use ironmast_balancer::{Effect, Micros};
 use ironmast_operations::link;
 use ironmast_settings::Setup;
@@ -23,19 +24,17 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, oneshot, watch};
 
+use crate::bodies::{BODY_MOST, Body, HELD_MOST, Held, Inflow, PATIENCE, Pace, Parts};
 use crate::clock::Clock;
 use crate::handover::Partners;
-use crate::message::{Answer, Arrival, Message, Payload, Queue, Ticket};
+use crate::message::{Answer, Arrival, Message, Payload, Queue, Sent, Ticket};
 use crate::sockets::{Budget, Tap, Tapped};
 
-/// A body holds no more than this.
-const BODY_MOST: usize = 64 * 1024;
 /// After an accept that failed, the next waits this long; so does the next try to make room for one.
 const PAUSE: Duration = Duration::from_millis(20);
 
-/// A connection without a whole request is closed after this: half a request is owed an end within 3 s, and
-/// one that has been answered may stay for 2 s at least.
-const PATIENCE: Micros = 2_200_000;
+/// A body that flows is given up after this, whatever its client's pace.
+const FLOWS_MOST: Micros = 600_000_000;
 /// A new connection is not taken for a silent one before this.
 const FRESH: Micros = 50_000;
 /// Connections are kept after an answer while less than this part of the clients' share is idle.
@@ -55,6 +54,8 @@
     pub ready: Rc<Cell<bool>>,
     /// The clients' share of the descriptors.
     pub budget: Budget,
+    /// What is held of bodies.
+    held: Held,
     /// Whether this process serves; where it does not, or no more, answers close their connections.
     serving: watch::Receiver<bool>,
     /// Hears which requests are open, where it is about to take over.
@@ -77,19 +78,35 @@
     /// It has been answered before; bytes have come since.
     answered: Cell<bool>,
     begun: Cell<bool>,
-    /// When it came, was last answered, or began its next request.
+    /// When it came, was last written to, or began its next request. Without a whole head it is closed
+    /// `PATIENCE` later: one that has been answered may stay for 2 s at least.
     since: Cell<Micros>,
+    /// How its client keeps up with the body at hand.
+    pace: Rc<Cell<Pace>>,
     close: Notify,
     clock: Clock,
 }
 
+impl Door {
+    /// When it is to be closed; never while it waits for us.
+    fn late_at(&self) -> Option<Micros> {
+        let idle = (!self.asked.get()).then(|| self.since.get() + PATIENCE);
+        self.pace.get().late_at().or(idle)
+    }
+}
+
 impl Tap for Rc<Door> {
     fn got(&self) {
-        if !self.begun.replace(true) && self.answered.get() {
+        if !self.begun.replace(true) {
             self.since.set(self.clock.now());
         }
     }
 
+    fn wrote(&self, _bytes: usize) {
+        // Guards clients that read slowly, while they do.
+        self.since.set(self.clock.now());
+    }
+
     fn ended(&self) {
         self.left.set(true);
         self.close.notify_one();
@@ -104,7 +121,7 @@
         queue: Queue,
         log: Logger,
         ready: Rc<Cell<bool>>,
-        budget: Budget,
+        (budget, held): (Budget, Held),
         (serving, partners): (watch::Receiver<bool>, Rc<Partners>),
     ) -> Rc<Self> {
         let (closing, doors, open, elsewhere, empty) = Default::default();
@@ -115,6 +132,7 @@
             log,
             ready,
             budget,
+            held,
             serving,
             partners,
             closing,
@@ -199,7 +217,8 @@
                     number += 1;
                     let (asked, left, answered, begun, close) = Default::default();
                     let (since, clock) = (Cell::new(self.clock.now()), self.clock);
-                    let door = Rc::new(Door { asked, left, answered, begun, since, close, clock });
+                    let pace = Rc::new(Cell::new(Pace::new(0)));
+                    let door = Rc::new(Door { asked, left, answered, begun, since, pace, close, clock });
                     self.doors.borrow_mut().insert(number, Rc::clone(&door));
                     let stream = Tapped::new(stream, Rc::clone(&door), slot);
                     actix_rt::spawn(Rc::clone(&self).serve(number, door, stream));
@@ -232,14 +251,13 @@
             let connection = service.call((stream, None));
             tokio::pin!(connection);
             loop {
-                let late = || door.since.get() + PATIENCE;
-                let look = if door.asked.get() { self.clock.now() + PATIENCE } else { late() };
+                let look = door.late_at().unwrap_or(self.clock.now() + PATIENCE);
                 tokio::select! {
                     biased;
                     _ = &mut connection => break,
                     // Guards against endless heads and bodies, and against clients that say nothing.
                     () = tokio::time::sleep_until(self.clock.at(look).into()) => {
-                        if !door.asked.get() && self.clock.now() >= late() { break }
+                        if door.late_at().is_some_and(|late| self.clock.now() >= late) { break }
                     }
                     // actix-http does not drop a handler whose client has left: this does, and the drop of its
                     // `Waiting` tells the driver. Idle connections are closed here too.
@@ -263,16 +281,12 @@
     }
 
     async fn handle(&self, mut request: Request) -> Response<BoxBody> {
-        let arrived = self.clock.now();
         let Some(door) = request.conn_data::<Rc<Door>>().map(Rc::clone) else {
             return Response::with_body(StatusCode::INTERNAL_SERVER_ERROR, "no connection\n")
                 .map_into_boxed_body();
         };
-        let mut response = match self.check(&mut request, arrived).await {
-            Ok((class, arrival)) => {
-                let _asked = Asked::new(&door);
-                self.ask(class, arrival).await
-            }
+        let mut response = match self.check(&mut request, &door).await {
+            Ok((class, arrival)) => self.ask(class, arrival, &door).await,
             Err(mut response) => {
                 // Guards against bodies not read, which would be taken for the next request, and against
                 // clients that send the same again at full speed.
@@ -295,7 +309,7 @@
     async fn check(
         &self,
         request: &mut Request,
-        arrived: Micros,
+        door: &Rc<Door>,
     ) -> Result<(usize, Checked), Response<BoxBody>> {
         let plain = |status: StatusCode, text: &'static str| {
             Err(Response::with_body(status, text).map_into_boxed_body())
@@ -333,29 +347,74 @@
         let org = header("X-Org");
         let tenant = self.setup.tenants.iter().position(|t| org == Some(t.as_bytes()));
         let client_retry = header("X-Resent") == Some(b"1");
-        let announced =
+        let announced: Option<u64> =
             header(CONTENT_LENGTH.as_str()).and_then(|v| std::str::from_utf8(v).ok()?.parse().ok());
+        if announced.is_some_and(|length| length > BODY_MOST as u64) {
+            return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 32 MB\n");
+        }
         let query = request.uri().query().unwrap_or("");
         let subject = query.split('&').find_map(|pair| pair.strip_prefix("k=")?.parse().ok());
         let target = request.uri().path_and_query().map_or("/", |p| p.as_str()).to_string();
-        let mut body = BytesMut::new();
-        let mut payload = request.take_payload();
-        let mut whole = announced.unwrap_or(0usize) <= BODY_MOST;
-        while whole && let Some(part) = payload.next().await {
-            let Ok(part) = part else { return plain(StatusCode::BAD_REQUEST, "the body is incomplete\n") };
-            whole = body.len() + part.len() <= BODY_MOST;
-            body.extend_from_slice(&part);
-        }
-        if !whole {
-            return plain(StatusCode::PAYLOAD_TOO_LARGE, "the body is over 64 KiB\n");
+        let ticket = self.queue.ticket();
+        let body = match self.body(request.take_payload(), announced, ticket, door).await {
+            Ok(body) => body,
+            Err(()) => return plain(StatusCode::BAD_REQUEST, "the body is incomplete\n"),
+        };
+        let expires = self.clock.now() + left + if matches!(body, Sent::Whole(_)) { 0 } else { FLOWS_MOST };
+        let payload = Rc::new(Payload { safe, target, txn, key, body, left });
+        Ok((class, Checked { ticket, tenant, subject, client_retry, expires, payload }))
+    }
+
+    /// Reads a body, whole if it is short; a long one goes on to flow.
+    async fn body(
+        &self,
+        parts: actix_http::Payload,
+        length: Option<u64>,
+        ticket: Ticket,
+        door: &Rc<Door>,
+    ) -> Result<Sent, ()> {
+        let (mut begun, mut hold) = (BytesMut::new(), self.held.count());
+        let mut parts: Parts = Box::pin(parts.map_err(io::Error::other));
+        door.pace.set(Pace::new(door.since.get()));
+        // Nothing goes to a pay server before there is more than can be held: guards its connections against
+        // clients that announce much and send little.
+        let long = loop {
+            let mut pace = door.pace.get();
+            pace.waits(self.clock.now());
+            door.pace.set(pace);
+            let part = parts.next().await;
+            pace.came(self.clock.now(), part.as_ref().map_or(0, |part| part.as_ref().map_or(0, Bytes::len)));
+            door.pace.set(pace);
+            let Some(part) = part else { break false };
+            let part = part.map_err(|_| ())?;
+            hold.grow(part.len());
+            begun.extend_from_slice(&part);
+            if begun.len() > HELD_MOST {
+                break true;
+            }
+        };
+        let begun = begun.freeze();
+        if !long {
+            return Ok(Sent::Whole(begun));
         }
-        let payload = Rc::new(Payload { safe, target, txn, key, body: body.freeze() });
-        Ok((class, Checked { tenant, subject, client_retry, expires: arrived + left, payload }))
+        let window = self.held.window().await;
+        let queue = self.queue.clone();
+        let whole = move || queue.say(Message::Whole(ticket));
+        // Guards against bodies without a length that never end.
+        let mut left = BODY_MOST - begun.len();
+        let parts: Parts = Box::pin(parts.map(move |part| {
+            let part = part?;
+            left = left.checked_sub(part.len()).ok_or_else(|| io::Error::other("the body is over 32 MB"))?;
+            Ok(part)
+        }));
+        let (clock, pace) = (self.clock, Rc::clone(&door.pace));
+        Ok(Sent::Flowing(Rc::new(Inflow::new((begun, parts), length, clock, pace, window, whole))))
     }
 
     /// Hands a request to the driver and waits for its answer.
-    async fn ask(&self, class: usize, checked: Checked) -> Response<BoxBody> {
-        let Checked { tenant, subject, client_retry, expires, payload } = checked;
+    async fn ask(&self, class: usize, checked: Checked, door: &Rc<Door>) -> Response<BoxBody> {
+        let asked = Asked::new(door);
+        let Checked { ticket, tenant, subject, client_retry, expires, payload } = checked;
         // Guards pay servers against a request sent under the name of one that is open.
         let txn = payload.txn.clone();
         if self.elsewhere.borrow().contains(&hex(&txn)) || !self.open.borrow_mut().insert(txn.clone()) {
@@ -365,14 +424,41 @@
         }
         self.partners.tell_successor(link::Message::Opened(hex(&txn)));
         let (reply, answer) = oneshot::channel();
-        let ticket = self.queue.ticket();
+        let flow = payload.flow().cloned();
         let arrival = Arrival { ticket, class, tenant, subject, client_retry, expires, payload, reply };
         self.queue.say(Message::Arrived(arrival));
         let mut waiting = Waiting { ticket, txn, front: self, answered: false };
-        let answer = answer.await;
+        let broken = async {
+            match &flow {
+                Some(flow) => flow.broken().await,
+                None => std::future::pending().await,
+            }
+        };
+        let answer = tokio::select! {
+            biased;
+            answer = answer => answer,
+            // Not answered yet: dropping `waiting` says that the client is no more.
+            () = broken => {
+                let mut response = Response::with_body(StatusCode::BAD_REQUEST, "the body is incomplete\n");
+                response.head_mut().set_connection_type(ConnectionType::Close);
+                return response.map_into_boxed_body();
+            }
+        };
         waiting.answered = true;
         match answer {
-            Ok(Answer::Served(body)) => Response::with_body(StatusCode::OK, body).map_into_boxed_body(),
+            Ok(Answer::Served(Body::Whole(body))) => {
+                Response::with_body(StatusCode::OK, body).map_into_boxed_body()
+            }
+            Ok(Answer::Served(Body::Flowing(body))) => {
+                let length = body.length;
+                // The connection is busy for as long as the answer flows.
+                let body = body.inspect(move |_| _ = &asked);
+                match length {
+                    Some(length) => Response::with_body(StatusCode::OK, SizedStream::new(length, body))
+                        .map_into_boxed_body(),
+                    None => Response::with_body(StatusCode::OK, BodyStream::new(body)).map_into_boxed_body(),
+                }
+            }
             Ok(Answer::Refused(after)) => {
                 let body = Bytes::from_static(b"refused\n");
                 let mut response = Response::with_body(StatusCode::SERVICE_UNAVAILABLE, body);
@@ -392,6 +478,7 @@
 
 /// A request in which nothing is wrong.
 struct Checked {
+    ticket: Ticket,
     tenant: Option<usize>,
     subject: Option<u64>,
     client_retry: bool,
@@ -400,18 +487,19 @@
 }
 
 /// Keeps a connection from counting as idle.
-struct Asked<'a>(&'a Door);
+struct Asked(Rc<Door>);
 
-impl<'a> Asked<'a> {
-    fn new(door: &'a Door) -> Self {
+impl Asked {
+    fn new(door: &Rc<Door>) -> Self {
         door.asked.set(true);
-        Asked(door)
+        Asked(Rc::clone(door))
     }
 }
 
-impl Drop for Asked<'_> {
+impl Drop for Asked {
     fn drop(&mut self) {
         self.0.asked.set(false);
+        self.0.since.set(self.0.clock.now());
     }
 }
 
--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -5,6 +5,7 @@
 //! `config` holds what the program is told, and `serve` puts it all together.
 #![forbid(unsafe_code)]
 
+mod bodies;
 mod clock;
 mod config;
 mod discovery;
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -12,6 +12,8 @@
 use serde_json::Value;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::bodies::{Body, Inflow};
+
 /// Names one request on its way from a listener to the driver.
 pub type Ticket = u64;
 
@@ -27,7 +29,28 @@
     /// The key under which repeats are dropped.
     pub key: Option<Vec<u8>>,
     /// The body, byte for byte.
-    pub body: Bytes,
+    pub body: Sent,
+    /// How long the client waits, from the request's last byte on.
+    pub left: Micros,
+}
+
+/// The body of a request.
+#[derive(Debug)]
+pub enum Sent {
+    /// Held whole: it may be sent again.
+    Whole(Bytes),
+    /// On its way from the client.
+    Flowing(Rc<Inflow>),
+}
+
+impl Payload {
+    /// The body's flow, where it is not held whole from the start.
+    pub fn flow(&self) -> Option<&Rc<Inflow>> {
+        match &self.body {
+            Sent::Flowing(flow) => Some(flow),
+            Sent::Whole(_) => None,
+        }
+    }
 }
 
 /// A request that a client handed over.
@@ -55,7 +78,7 @@
 #[derive(Debug)]
 pub enum Answer {
     /// A pay server's answer, unchanged.
-    Served(Bytes),
+    Served(Body),
     /// Refused: trying again is harmless, after a while at best.
     Refused(Option<Micros>),
     /// Failed, with no promise about effects.
@@ -89,7 +112,7 @@
     /// How it ended.
     pub outcome: Outcome,
     /// The answer's body, where it was served.
-    pub body: Bytes,
+    pub body: Body,
     /// The load report, when one came along.
     pub load: Option<LoadReport>,
 }
@@ -99,6 +122,8 @@
 pub enum Message {
     /// A request arrived.
     Arrived(Arrival),
+    /// The last byte of a request's body has come.
+    Whole(Ticket),
     /// The client of a request left before its answer.
     Left(Ticket),
     /// An attempt ended.
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -19,6 +19,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 
+use crate::bodies::Held;
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::discovery::Discovery;
@@ -78,7 +79,8 @@
     actix_rt::spawn(discovery.run(asks));
 
     let rules = upstream::Rules { connect, keepalive, load: setup.load.clone() };
-    let upstream = Upstream::new(rules, clock, log.clone(), server_share, queue.clone());
+    let held = Held::new(config.memory_mb);
+    let upstream = Upstream::new(rules, clock, log.clone(), server_share, held.clone(), queue.clone());
     actix_rt::spawn(upstream.run(upstream_orders));
     let (peers, all, socket) = (config.peers.clone(), config.peers_all, sockets.datagrams.map(Rc::new));
     let passed_socket = socket.clone();
@@ -87,13 +89,13 @@
     actix_rt::spawn(peers.run(tells));
 
     let ready = Rc::new(Cell::new(false));
-    let (held, told) = (Rc::clone(&ready), Rc::new(Notify::new()));
+    let (list_held, told) = (Rc::clone(&ready), Rc::new(Notify::new()));
     let tell_held = Rc::clone(&told);
     let orders = Orders { upstream: to_upstream, discovery: to_discovery, peers: to_peers };
     let admin = (Admin::new(bans), store.clone(), Rc::clone(&partners));
     let driver = Driver::new(balancer, setup.settings.clone(), clock, log.clone(), orders, admin);
     let mut driving = actix_rt::spawn(driver.run(messages, urgent, move || {
-        if !held.replace(true) {
+        if !list_held.replace(true) {
             tell_held.notify_one();
         }
     }));
@@ -103,7 +105,7 @@
     }
 
     let door = (serving, Rc::clone(&partners));
-    let front = Front::new(setup, clock, queue, log.clone(), ready, client_share, door);
+    let front = Front::new(setup, clock, queue, log.clone(), ready, (client_share, held), door);
     let accepting = actix_rt::spawn(Rc::clone(&front).accept(Rc::clone(&listener)));
     info!(log, "serving"; "listen" => listen);
 
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -11,28 +11,29 @@
 use std::time::Duration;
 
 use actix_http::StatusCode;
-use actix_http::header::{HeaderMap, HeaderValue};
+use actix_http::body::{BodyStream, SizedStream};
+use actix_http::header::{CONTENT_LENGTH, HeaderMap, HeaderValue};
 use actix_rt::net::{ActixStream, TcpStream};
 use actix_service::fn_service;
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
 use awc::http::Uri;
 use awc::{Client, Connector};
 use bytes::Bytes;
+use futures_util::TryStreamExt as _;
 use ironmast_balancer::{LoadReport, Micros, Outcome, RequestId, ServerId};
 use ironmast_settings::LoadNames;
 use slog::{Logger, warn};
 use tokio::sync::{Notify, mpsc, oneshot};
 
 use self::framing::Checked;
+use crate::bodies::{Body, HELD_MOST, Held, Outflow};
 use crate::clock::Clock;
-use crate::message::{Attempt, Ended, Message, Order, Queue};
+use crate::message::{Attempt, Ended, Message, Order, Queue, Sent};
 use crate::sockets::{Budget, Tap, Tapped};
 
-/// A body holds no more than this.
-pub const BODY_MOST: usize = 64 * 1024;
 /// Pay servers are told this much less than the time left: their answer still has to travel.
 const MARGIN: Micros = 2_000;
-/// An answer that has begun is whole within this: guards against lengths longer than what comes.
+/// An answer that has begun goes on within this: guards against lengths longer than what comes.
 const REST: Duration = Duration::from_millis(100);
 /// A probe is given up after this.
 const PROBE: Duration = Duration::from_millis(250);
@@ -46,9 +47,10 @@
 #[derive(Default)]
 struct Writing {
     bytes: Cell<usize>,
-    /// An answer has begun to arrive, and what came is none.
-    begun: Notify,
+    /// More of an answer has arrived; what came is none; it is too long to be held.
+    progress: Notify,
     spoilt: Cell<bool>,
+    flows: Cell<bool>,
     server: Option<ServerId>,
     retired: Retired,
 }
@@ -130,6 +132,7 @@
     clock: Clock,
     log: Logger,
     budget: Budget,
+    held: Held,
     queue: Queue,
     clients: Rc<RefCell<Clients>>,
     retired: Retired,
@@ -138,7 +141,7 @@
 
 impl Upstream {
     /// A keeper without connections.
-    pub fn new(rules: Rules, clock: Clock, log: Logger, budget: Budget, queue: Queue) -> Self {
+    pub fn new(rules: Rules, clock: Clock, log: Logger, budget: Budget, held: Held, queue: Queue) -> Self {
         let clients: Rc<RefCell<Clients>> = Rc::default();
         let idle = Rc::downgrade(&clients);
         // One server's at a time, the longest unused first: guards against opening all of them anew at once.
@@ -149,7 +152,7 @@
             longest.and_then(|server| clients.remove(&server));
         });
         let (retired, out) = Default::default();
-        Upstream { rules, clock, log, budget, queue, clients, retired, out }
+        Upstream { rules, clock, log, budget, held, queue, clients, retired, out }
     }
 
     /// Carries out orders until none can come any more.
@@ -194,14 +197,14 @@
         let (server, retired) = (Some(attempt.server), Rc::clone(&self.retired));
         let writing = Rc::new(Writing { server, retired, ..Writing::default() });
         let (clock, queue, names) = (self.clock, self.queue.clone(), self.rules.load.clone());
+        let held = self.held.clone();
         actix_rt::spawn(async move {
             // One turn of the poller first: guards against writing to an idle connection whose close has
             // arrived but has not been looked at, which would be a reset and look like a sick server.
             tokio::task::yield_now().await;
             let (id, number) = (attempt.id, attempt.number);
             let until = clock.at(attempt.until).into();
-            let left = attempt.until.saturating_sub(clock.now() + MARGIN);
-            let call = WRITING.scope(Rc::clone(&writing), exchange(&client, &attempt, left, &names));
+            let call = WRITING.scope(Rc::clone(&writing), exchange(&client, &attempt, &clock, &names, &held));
             // What loses here is dropped before the end is told, and its connection with it.
             let (outcome, body, load) = tokio::select! {
                 biased;
@@ -212,13 +215,18 @@
                         _ if writing.spoilt.get() => Outcome::Spoilt,
                         _ => Outcome::Reset,
                     };
-                    (outcome, Bytes::new(), None)
+                    (outcome, nothing(), None)
                 }),
-                () = async { writing.begun.notified().await; tokio::time::sleep(REST).await } => {
-                    (Outcome::Spoilt, Bytes::new(), None)
-                }
-                _ = cancelled => (Outcome::Cancelled, Bytes::new(), None),
-                () = tokio::time::sleep_until(until) => (Outcome::Timeout, Bytes::new(), None),
+                () = fallen_silent(&writing) => (Outcome::Spoilt, nothing(), None),
+                _ = cancelled => (Outcome::Cancelled, nothing(), None),
+                () = tokio::time::sleep_until(until) => (Outcome::Timeout, nothing(), None),
+            };
+            let outcome = match attempt.payload.flow() {
+                // The client's doing.
+                Some(flow) if outcome != Outcome::Ok && flow.is_broken() => Outcome::Cancelled,
+                // Its last byte can't have been written.
+                Some(flow) if outcome != Outcome::Cancelled && !flow.is_whole() => Outcome::ConnectFailed,
+                _ => outcome,
             };
             queue.say(Message::Ended(Ended { id, number, outcome, body, load }));
         });
@@ -232,7 +240,7 @@
             let sent = clock.now();
             let call = async {
                 let mut answer = client.get(format!("http://{address}/stats")).send().await.ok()?;
-                let body = answer.body().limit(BODY_MOST).await.ok()?;
+                let body = answer.body().limit(HELD_MOST).await.ok()?;
                 Some((answer.status(), names.report(std::str::from_utf8(&body).unwrap_or(""))))
             };
             let (outcome, load) = match tokio::time::timeout(PROBE, call).await {
@@ -249,10 +257,29 @@
     }
 }
 
-type End = (Outcome, Bytes, Option<LoadReport>);
+type End = (Outcome, Body, Option<LoadReport>);
+
+fn nothing() -> Body {
+    Body::Whole(Bytes::new())
+}
+
+/// Returns once an answer that had begun has stopped short; until then, and once it flows, never.
+async fn fallen_silent(writing: &Writing) {
+    writing.progress.notified().await;
+    while tokio::time::timeout(REST, writing.progress.notified()).await.is_ok() {}
+    if writing.flows.get() {
+        std::future::pending().await
+    }
+}
 
-/// Sends the request and reads the whole answer; an error where none came.
-async fn exchange(client: &Client, attempt: &Attempt, left: Micros, names: &LoadNames) -> Result<End, ()> {
+/// Sends the request and reads the whole answer, or the beginning of a long one; an error where none came.
+async fn exchange(
+    client: &Client,
+    attempt: &Attempt,
+    clock: &Clock,
+    names: &LoadNames,
+    held: &Held,
+) -> Result<End, ()> {
     let sent = &attempt.payload;
     let url = format!("http://{}{}", attempt.address, sent.target);
     let call = if sent.safe { client.get(url) } else { client.post(url) };
@@ -261,18 +288,36 @@
     if let Some(key) = &sent.key {
         call = call.insert_header(("Idempotency-Key", value(key)?));
     }
-    call = call.insert_header(("X-Remaining", format!("{left}u")));
-    let sending = if sent.safe { call.send() } else { call.send_body(sent.body.clone()) };
+    // While a body flows its client's time has not begun.
+    let left = sent.flow().map_or(attempt.until.saturating_sub(clock.now()), |_| sent.left);
+    call = call.insert_header(("X-Remaining", format!("{}u", left.saturating_sub(MARGIN))));
+    let sending = match &sent.body {
+        _ if sent.safe => call.send(),
+        Sent::Whole(body) => call.send_body(body.clone()),
+        Sent::Flowing(flow) => match flow.length {
+            Some(length) => call.send_body(SizedStream::new(length, Rc::clone(flow).stream())),
+            None => call.send_body(BodyStream::new(Rc::clone(flow).stream())),
+        },
+    };
     let mut answer = sending.await.map_err(|_| ())?;
     let (status, load) = (answer.status(), load(answer.headers(), names));
     let turned = answer.headers().get("X-Turned-Away").is_some_and(|v| v.as_bytes() == b"1");
-    let body = answer.body().limit(BODY_MOST).await.map_err(|_| ())?;
     let outcome = match status {
         StatusCode::OK => Outcome::Ok,
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned => Outcome::Full,
         status if status.is_client_error() => Outcome::Rejected,
         _ => Outcome::Error,
     };
+    let body = match WRITING.with(|writing| writing.flows.get()) {
+        true if outcome == Outcome::Ok => {
+            let length = answer.headers().get(CONTENT_LENGTH).and_then(|v| v.to_str().ok()?.parse().ok());
+            let parts = answer.map_err(|e| io::Error::other(e.to_string()));
+            Body::Flowing(Outflow::new(length, Box::pin(parts), held.window().await))
+        }
+        // Nobody wants it.
+        true => nothing(),
+        false => Body::Whole(answer.body().limit(HELD_MOST).await.map_err(|_| ())?),
+    };
     Ok((outcome, body, load))
 }
 
