An answer of untold length that keeps coming for 100 ms flows

Ruled out: silent servers (none of them), slow small answers (none over 50 ms). Line at fault: `long` in upstream/framing.rs, which knows of a chunked answer's length only when it has come.

--- a/crates/proxy/src/upstream/framing.rs
+++ b/crates/proxy/src/upstream/framing.rs
@@ -6,11 +6,12 @@
 use std::ops::Range;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
+use std::time::Instant;
 
 use actix_rt::net::{ActixStream, Ready};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
-use super::{Meter, WRITING};
+use super::{Meter, REST, WRITING};
 use crate::bodies::{BODY_MOST, HELD_MOST};
 use crate::sockets::Tapped;
 
@@ -134,7 +135,7 @@
     /// True where it is known by now that the answer is too long to be held.
     fn long(&self) -> bool {
         let left = match self.framing {
-            Framing::Sized(left) => left,
+            Framing::Sized(left) | Framing::Chunked(Chunks::Data(left)) => left,
             _ => 0,
         };
         self.seen.saturating_add(left) > HELD_MOST as u64
@@ -217,6 +218,8 @@
     /// Of `held`, the part that is the answer and may be let through.
     free: Range<usize>,
     stage: Stage,
+    /// When the answer at hand began.
+    began: Option<Instant>,
     /// More came than belongs to the answer, or the answer ends with it: the connection is not used again.
     spent: bool,
 }
@@ -224,7 +227,7 @@
 impl Checked {
     /// Wraps a new connection.
     pub fn new(stream: Tapped<Meter>) -> Self {
-        Checked { stream, held: Vec::new(), free: 0..0, stage: Stage::Idle, spent: false }
+        Checked { stream, held: Vec::new(), free: 0..0, stage: Stage::Idle, began: None, spent: false }
     }
 
     /// Reads until something may be let through; `Ready` then.
@@ -235,6 +238,9 @@
             ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf))?;
             let _ = WRITING.try_with(|w| w.progress.notify_one());
             let (from, ended) = (self.held.len(), buf.filled().is_empty());
+            if from == 0 {
+                self.began = Some(Instant::now());
+            }
             self.held.extend_from_slice(buf.filled());
             match self.take(from, ended) {
                 Ok(true) => return Poll::Ready(Ok(())),
@@ -248,6 +254,12 @@
         }
     }
 
+    /// Whether an answer that does not tell its length has been coming for so long that it counts as a long one:
+    /// of those the first bytes are waited for. One that has stopped short never gets here.
+    fn lasts(&self, follower: &Follower) -> bool {
+        !matches!(follower.framing, Framing::Sized(_)) && self.began.is_some_and(|at| at.elapsed() >= REST)
+    }
+
     /// Looks at what has come since `from`, and whether the stream has ended; true where something of it may be
     /// let through.
     fn take(&mut self, mut from: usize, ended: bool) -> Result<bool, Spoilt> {
@@ -270,7 +282,10 @@
             self.stage = Stage::Idle;
             return Ok(true);
         }
-        let long = follower.long();
+        let long = match &self.stage {
+            Stage::Held(follower) => follower.long() || self.lasts(follower),
+            _ => false,
+        };
         if long {
             let Stage::Held(follower) = std::mem::replace(&mut self.stage, Stage::Idle) else {
                 return Ok(false);
@@ -432,6 +447,7 @@
         let follower = |framing| Follower { framing, seen: 0 };
         assert!(!follower(Framing::Sized(HELD_MOST as u64)).long());
         assert!(follower(Framing::Sized(HELD_MOST as u64 + 1)).long());
+        assert!(follower(Framing::Chunked(Chunks::Data(HELD_MOST as u64 + 1))).long(), "by its first chunk");
         let mut chunked = follower(Framing::Chunked(Chunks::Size(Vec::new())));
         let part = [b"8000\r\n".to_vec(), vec![b'x'; 0x8000], b"\r\n".to_vec()].concat();
         let long: Vec<bool> = (0..3)
