An old process lingers for silent connections once a successor serves

Seen: under twelve test processes at once one of 48 plays of two replacements under load had three requests closed on, at the end of an old process: Front::finish closed connections that had been idle for under a second while their clients were about to ask. A call for what is so already was told to the other process as a change.

--- a/crates/operations/src/replacement.rs
+++ b/crates/operations/src/replacement.rs
@@ -31,7 +31,11 @@
     /// Uses no more than this part of its descriptors, in percent.
     Descriptors(u8),
     /// Finishes what it has and ends.
-    Finish,
+    Finish {
+        /// Idle connections are left to fall silent by themselves: a successor serves, so nobody waits for this
+        /// process' end, and a close could cross a request.
+        linger: bool,
+    },
 }
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -106,7 +110,7 @@
             }
             Event::Term if !self.ending => {
                 self.ending = true;
-                vec![Action::Finish]
+                vec![Action::Finish { linger: self.successor == Successor::Serving }]
             }
             _ => Vec::new(),
         }
@@ -129,14 +133,15 @@
     #[test]
     fn alone_it_serves_at_once_and_accepts_until_the_end() {
         let (part, all) = run(false, &[Held, Held, Term, Term]);
-        assert_eq!(all, [vec![Serve], vec![], vec![], vec![Finish], vec![]]);
+        assert_eq!(all, [vec![Serve], vec![], vec![], vec![Finish { linger: false }], vec![]]);
         assert!(part.serves());
     }
 
     #[test]
     fn a_replacement_passes_the_door_once() {
         let (old, all) = run(false, &[SuccessorCame, SuccessorServes, Term, SuccessorLost]);
-        assert_eq!(all, [vec![Serve], vec![Descriptors(50)], vec![StandBack], vec![Finish], vec![]]);
+        let finish = vec![Finish { linger: true }];
+        assert_eq!(all, [vec![Serve], vec![Descriptors(50)], vec![StandBack], finish, vec![]]);
         assert!(!old.may_be_succeeded());
         let (new, all) = run(true, &[Held, Held, PredecessorLost, PredecessorLost]);
         let serve = vec![TellServing, Serve];
--- a/crates/proxy/src/bodies.rs
+++ b/crates/proxy/src/bodies.rs
@@ -133,6 +133,8 @@
     pace: Rc<Cell<Pace>>,
     first: RefCell<Bytes>,
     rest: RefCell<Parts>,
+    /// Bytes that have come, the first part included.
+    come: Cell<u64>,
     /// Some of the rest has been drawn: it can't be sent again.
     drawn: Cell<bool>,
     /// All of it has been drawn, or it broke off.
@@ -164,9 +166,10 @@
         whole: impl FnOnce() + 'static,
     ) -> Self {
         let (drawn, ended, broken, broke) = Default::default();
+        let come = Cell::new(first.len() as u64);
         let (first, rest) = (RefCell::new(first), RefCell::new(rest));
         let whole = RefCell::new(Some(Box::new(whole) as Box<dyn FnOnce()>));
-        Inflow { length, clock, pace, first, rest, drawn, ended, broken, broke, whole, _hold: hold }
+        Inflow { length, clock, pace, first, rest, come, drawn, ended, broken, broke, whole, _hold: hold }
     }
 
     /// Whether it is still held whole, so that another attempt may have it.
@@ -204,19 +207,22 @@
             self.pace.set(pace);
             return Poll::Pending;
         };
-        pace.came(self.clock.now(), item.as_ref().map_or(0, |part| part.as_ref().map_or(0, Bytes::len)));
+        let bytes = item.as_ref().map_or(0, |part| part.as_ref().map_or(0, Bytes::len));
+        pace.came(self.clock.now(), bytes);
         self.pace.set(pace);
+        self.come.set(self.come.get() + bytes as u64);
         if !self.drawn.replace(true) {
             // It is of no more use.
             self.first.take();
         }
         match &item {
-            Some(Ok(_)) => {}
             Some(Err(_)) => {
                 self.broken.set(true);
                 self.broke.notify_one();
             }
-            None => {
+            // The last byte can be on the wire before anybody asks for more.
+            Some(Ok(_)) if self.length.is_none_or(|length| self.come.get() < length) => {}
+            _ => {
                 self.ended.set(true);
                 if let Some(whole) = self.whole.take() {
                     whole();
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -182,20 +182,28 @@
 
     fn called(&mut self, call: Call) -> Reply {
         let now = self.clock.now();
-        let (uid, (reply, news)) = match call {
+        let uid = match &call {
             Call::Ready if self.servers.is_empty() => return Err("no list of servers is held".to_string()),
             Call::Ready if !self.partners.may_serve() => {
                 return Err("the process before still serves".to_string());
             }
             Call::Ready => return Ok("ready".to_string()),
-            Call::Disable(uid) => (uid.clone(), self.admin.disable(&uid, now)),
-            Call::Enable(uid) => (uid.clone(), self.admin.enable(&uid, now)),
+            Call::Disable(uid) | Call::Enable(uid) => uid,
+        };
+        let before = self.admin.change_of(uid);
+        let (reply, news) = match &call {
+            Call::Disable(uid) => self.admin.disable(uid, now),
+            _ => self.admin.enable(uid, now),
         };
         let said = reply?;
         if let Some(news) = news {
             self.show(news);
         }
-        self.partners.tell(link::Message::Admin(self.admin.change_of(&uid)));
+        let after = self.admin.change_of(uid);
+        if after == before {
+            return Ok(said);
+        }
+        self.partners.tell(link::Message::Admin(after));
         // On disk before the yes: guards bans against this process' end.
         Ok(if self.keep() {
             said
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -271,11 +271,14 @@
         }
     }
 
-    /// Closes idle connections, lets busy ones finish, and returns when none is left.
-    pub async fn finish(&self) {
+    /// Lets busy connections finish and closes idle ones, at once or, to linger, when they have been silent for
+    /// as long as any may be; returns when none is left.
+    pub async fn finish(&self, linger: bool) {
         self.closing.set(true);
         while !self.doors.borrow().is_empty() {
-            self.doors.borrow().values().for_each(|door| door.close.notify_one());
+            if !linger {
+                self.doors.borrow().values().for_each(|door| door.close.notify_one());
+            }
             self.empty.notified().await;
         }
     }
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -136,13 +136,13 @@
                         share.keep_to(percent).await;
                     }
                 }
-                Action::Finish => {
+                Action::Finish { linger } => {
                     info!(log, "ending");
                     let (front, accepting) = (Rc::clone(&front), accepting.abort_handle());
                     finished = Some(actix_rt::spawn(async move {
                         tokio::time::sleep(STILL_OPEN).await;
                         accepting.abort();
-                        front.finish().await;
+                        front.finish(linger).await;
                     }));
                 }
             }
--- a/crates/proxy/tests/operations.rs
+++ b/crates/proxy/tests/operations.rs
@@ -4,6 +4,7 @@
 
 use std::io::{BufRead as _, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::Path;
 use std::process::{ChildStderr, Command, Stdio};
 use std::sync::Arc;
@@ -11,6 +12,9 @@
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
+use rustix::net::sockopt::set_socket_reuseport;
+use rustix::net::{AddressFamily, SocketType};
+
 use common::{PATIENCE, Running, wait_log};
 
 /// Pay servers, discovery and a place for the proxies that are started one after another.
@@ -20,6 +24,7 @@
     discovery: SocketAddr,
     /// What each server has been asked, by number.
     asked: [Arc<AtomicUsize>; 2],
+    _port: OwnedFd,
 }
 
 struct Process {
@@ -95,9 +100,13 @@
                 }
             }
         });
-        // A port of the system's choice, given back so that the proxies may have it.
-        let listen = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
-        Stage { folder: tempfile::tempdir().expect("a folder"), listen, discovery, asked }
+        // A port of the system's choice, held without listening so that nobody but the proxies may have it.
+        let port = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None).expect("a socket");
+        rustix::net::bind(&port, &SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+        set_socket_reuseport(&port, true).expect("set");
+        let listen =
+            SocketAddr::try_from(rustix::net::getsockname(&port).expect("bound")).expect("an address");
+        Stage { folder: tempfile::tempdir().expect("a folder"), listen, discovery, asked, _port: port }
     }
 
     fn start(&self, tmpdir: Option<&Path>) -> Process {
