Tests of long bodies both ways, slow peers and all forms of HTTP/1.1 over sockets

A reader that stops holds its pay server up; first bytes pass at once; what breaks off shows; what is no longer held whole is not repeated; a client that stops half way is closed on. The module's time of a request whose last byte comes later, by events.

--- a/crates/balancer/tests/decisions.rs
+++ b/crates/balancer/tests/decisions.rs
@@ -977,3 +977,33 @@
     assert!(away.iter().all(|&a| a > 0 && a <= SECOND), "{away:?}");
     assert!(away.len() > held / 2, "clients come back at different times: {away:?}");
 }
+
+/// A body that takes its time: the client's time counts from its last byte, and so does the server's.
+#[test]
+fn a_request_whose_body_still_comes_has_its_time_from_the_last_byte() {
+    let single = || vec![class(Effect::SingleShot)];
+    let mut d = ready(single());
+    d.request_until(1, 0, d.now + 600 * SECOND);
+    d.pass(20 * SECOND);
+    assert!(!d.answered(1), "nothing is late while it comes");
+    d.event(Event::Whole { id: 1, expires: d.now + SECOND });
+    let whole = d.now;
+    d.pass(2 * SECOND);
+    let failed = d.failed.get(&1).expect("ended, and never told to come again");
+    assert!((whole + SECOND / 2..whole + SECOND).contains(failed), "before its client gives up");
+    assert!(d.cancelled.contains(&(1, 0)));
+    // Of a request that is over nobody hears again.
+    d.event(Event::Whole { id: 1, expires: d.now + SECOND });
+    d.settle(1, 0, Outcome::Cancelled);
+    d.pass(2 * SECOND);
+    assert_eq!((d.failed.len(), d.attempts(1)), (1, 1));
+    // It is tried again while an answer can still come in time, counted from there.
+    let mut d = ready(vec![class(Effect::Free)]);
+    (1_000..1_100).for_each(|n| _ = d.serve(n, 0, 5 * MS));
+    d.request_until(1, 0, d.now + 600 * SECOND);
+    d.pass(20 * SECOND);
+    d.event(Event::Whole { id: 1, expires: d.now + SECOND });
+    d.pass(10 * MS);
+    d.settle(1, 0, Outcome::Error);
+    assert_eq!(d.attempts(1), 2);
+}
--- a/crates/proxy/tests/operations.rs
+++ b/crates/proxy/tests/operations.rs
@@ -1,66 +1,23 @@
 //! Operators' calls and the replacement of a process by another, over real sockets and with real processes.
 
 mod common;
+mod stage;
 
-use std::io::{BufRead as _, BufReader, ErrorKind, Read, Write};
+use std::io::{BufReader, ErrorKind, Read as _, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::os::fd::OwnedFd;
-use std::path::Path;
-use std::process::{ChildStderr, Command, Stdio};
+use std::process::Command;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
-use rustix::net::sockopt::set_socket_reuseport;
-use rustix::net::{AddressFamily, SocketType};
+use common::wait_log;
+use stage::{Stage, head, listen, patient};
 
-use common::{PATIENCE, Running, wait_log};
-
-/// Pay servers, discovery and a place for the proxies that are started one after another.
-struct Stage {
-    folder: tempfile::TempDir,
-    listen: SocketAddr,
-    discovery: SocketAddr,
-    /// What each server has been asked, by number.
+/// The stage, and what each of its servers has been asked.
+struct Counted {
+    stage: Stage,
     asked: [Arc<AtomicUsize>; 2],
-    _port: OwnedFd,
-}
-
-struct Process {
-    child: Running,
-    log: BufReader<ChildStderr>,
-    ops: SocketAddr,
-}
-
-fn patient(stream: TcpStream) -> TcpStream {
-    stream.set_read_timeout(Some(PATIENCE)).expect("set");
-    stream
-}
-
-/// Serves each connection in a thread of its own.
-fn listen(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("bound");
-    let serve = Arc::new(serve);
-    std::thread::spawn(move || {
-        for stream in listener.incoming() {
-            let (stream, serve) = (patient(stream.expect("a connection")), Arc::clone(&serve));
-            std::thread::spawn(move || serve(stream));
-        }
-    });
-    address
-}
-
-/// The head of the next message, or none at its end.
-fn head(from: &mut BufReader<TcpStream>) -> Option<String> {
-    let mut head = String::new();
-    while !head.ends_with("\r\n\r\n") {
-        if from.read_line(&mut head).ok()? == 0 {
-            return None;
-        }
-    }
-    Some(head)
 }
 
 fn pay_server(asked: Arc<AtomicUsize>) -> SocketAddr {
@@ -79,97 +36,23 @@
     })
 }
 
-impl Stage {
-    fn new() -> Stage {
+impl Counted {
+    fn new() -> Counted {
         let asked: [Arc<AtomicUsize>; 2] = Default::default();
         let servers = [0, 1].map(|n| pay_server(Arc::clone(&asked[n])));
-        let target = |uid: &str, at: SocketAddr| {
-            format!(r#"{{"uid":"{uid}","endpoint":"{at}","az":"seattle","state":"up","capacity_hint":1.0}}"#)
-        };
-        let targets = [target("s-0", servers[0]), target("s-1", servers[1])].join(",");
-        let line = format!("{{\"rev\":1,\"all\":true,\"targets\":[{targets}]}}\n");
-        let discovery = listen(move |stream| {
-            let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
-            while head(&mut reader).is_some() {
-                let text = format!(
-                    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{line}\r\n",
-                    line.len()
-                );
-                if (&stream).write_all(text.as_bytes()).is_err() {
-                    return;
-                }
-            }
-        });
-        // A port of the system's choice, held without listening so that nobody but the proxies may have it.
-        let port = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None).expect("a socket");
-        rustix::net::bind(&port, &SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
-        set_socket_reuseport(&port, true).expect("set");
-        let listen =
-            SocketAddr::try_from(rustix::net::getsockname(&port).expect("bound")).expect("an address");
-        Stage { folder: tempfile::tempdir().expect("a folder"), listen, discovery, asked, _port: port }
-    }
-
-    fn start(&self, tmpdir: Option<&Path>) -> Process {
-        let config = self.folder.path().join("config.json");
-        let text = include_str!("exchanges/config.json")
-            .replace("{discovery}", &self.discovery.to_string())
-            .replace("127.0.0.1:0", &self.listen.to_string());
-        std::fs::write(&config, text).expect("written");
-        let mut command = Command::new(env!("CARGO_BIN_EXE_ironmast"));
-        command.arg("run").env("GW_CONFIG", config).env("GW_OPS", "127.0.0.1:0").stderr(Stdio::piped());
-        for name in ["GW_NAME", "GW_LISTEN", "GW_DISCOVERY", "TMPDIR"] {
-            command.env_remove(name);
-        }
-        if let Some(tmpdir) = tmpdir {
-            command.env("TMPDIR", tmpdir);
-        }
-        let mut child = Running(command.spawn().expect("it starts"));
-        let mut log = BufReader::new(child.0.stderr.take().expect("piped"));
-        let line = wait_log(&mut log, "operators may call");
-        let ops = line.split_once("ops: ").and_then(|(_, rest)| rest.split(',').next()).expect("an address");
-        Process { child, log, ops: ops.trim().parse().expect("an address") }
-    }
-
-    fn place(&self) -> Option<&Path> {
-        Some(self.folder.path())
+        Counted { stage: Stage::new(&servers), asked }
     }
 
     fn asked(&self, server: usize) -> usize {
         self.asked[server].load(Ordering::SeqCst)
     }
-
-    /// One request on a connection of its own.
-    fn request(&self, txn: &str) -> String {
-        let mut stream = patient(TcpStream::connect(self.listen).expect("it listens"));
-        write!(stream, "GET /balance HTTP/1.1\r\nHost: a\r\nConnection: close\r\nX-Txn: {txn}\r\n\r\n")
-            .expect("written");
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).expect("an answer");
-        answer
-    }
 }
 
-impl Process {
-    fn call(&self, line: &str) -> String {
-        let mut stream = patient(TcpStream::connect(self.ops).expect("it hears operators"));
-        stream.write_all(line.as_bytes()).expect("written");
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).expect("an answer");
-        answer
-    }
-
-    /// Asks until it is ready.
-    fn ready(&self) {
-        let start = Instant::now();
-        while !self.call("ready\n").starts_with("+OK") {
-            assert!(start.elapsed() < PATIENCE, "it never gets ready");
-            std::thread::yield_now();
-        }
-    }
+impl std::ops::Deref for Counted {
+    type Target = Stage;
 
-    fn signal(&self, name: &str) {
-        let id = self.child.0.id().to_string();
-        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+    fn deref(&self) -> &Stage {
+        &self.stage
     }
 }
 
@@ -215,7 +98,7 @@
 
 #[test]
 fn calls_are_answered_beside_callers_that_say_nothing() {
-    let stage = Stage::new();
+    let stage = Counted::new();
     let process = stage.start(stage.place());
     process.ready();
     let silent: Vec<_> = (0..40)
@@ -256,7 +139,7 @@
 
 #[test]
 fn a_line_that_never_ends_is_closed_on() {
-    let stage = Stage::new();
+    let stage = Counted::new();
     let process = stage.start(None);
     let mut stream = patient(TcpStream::connect(process.ops).expect("it hears operators"));
     stream.write_all(b"read").expect("written");
@@ -267,7 +150,7 @@
 
 #[test]
 fn a_server_out_of_use_gets_nothing_through_a_replacement_until_it_is_called_back() {
-    let stage = Stage::new();
+    let stage = Counted::new();
     let mut old = stage.start(stage.place());
     old.ready();
     assert!(old.call("disable-server s-0\n").starts_with("+OK"));
@@ -303,7 +186,7 @@
 
 #[test]
 fn a_second_process_replaces_the_first_under_load_and_no_request_ends_at_the_door() {
-    let stage = Stage::new();
+    let stage = Counted::new();
     let mut old = stage.start(stage.place());
     old.ready();
     let stop = Arc::default();
@@ -326,7 +209,7 @@
 
 #[test]
 fn a_successor_that_dies_gives_the_door_back_and_a_predecessor_that_dies_leaves_it() {
-    let stage = Stage::new();
+    let stage = Counted::new();
     let mut old = stage.start(stage.place());
     old.ready();
     let mut new = stage.start(stage.place());
@@ -346,7 +229,7 @@
 
 #[test]
 fn left_over_and_malformed_files_never_keep_a_process_from_starting() {
-    let stage = Stage::new();
+    let stage = Counted::new();
     let name = format!("ironmast-{}-{}", stage.listen.ip(), stage.listen.port());
     let file = |what: &str| stage.folder.path().join(format!("{name}.{what}"));
     std::fs::write(file("bans"), "{\"out\":7}").expect("written");
@@ -376,7 +259,7 @@
 /// Without a folder to meet in, each goes alone: both listen, and the second serves on.
 #[test]
 fn without_a_place_to_meet_both_processes_listen() {
-    let stage = Stage::new();
+    let stage = Counted::new();
     let mut old = stage.start(None);
     old.ready();
     assert!(old.call("disable-server s-0\n").contains("until this process ends"));
@@ -407,7 +290,7 @@
 /// A kept connection that is idle at the replacement still gets its next answer.
 #[test]
 fn a_kept_connection_is_served_by_the_old_process_and_closed_with_its_answer() {
-    let stage = Stage::new();
+    let stage = Counted::new();
     let mut old = stage.start(stage.place());
     old.ready();
     let mut kept = BufReader::new(patient(TcpStream::connect(stage.listen).expect("it listens")));
--- /dev/null
+++ b/crates/proxy/tests/stage/mod.rs
@@ -0,0 +1,150 @@
+//! Pay servers, discovery and a place for proxies that are started one after another, as real processes.
+
+use std::io::{BufRead as _, BufReader, Read as _, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::path::Path;
+use std::process::{ChildStderr, Command, Stdio};
+use std::sync::Arc;
+use std::time::Instant;
+
+use rustix::net::sockopt::set_socket_reuseport;
+use rustix::net::{AddressFamily, SocketType};
+
+use crate::common::{PATIENCE, Running, wait_log};
+
+/// Where it all is.
+pub struct Stage {
+    pub folder: tempfile::TempDir,
+    pub listen: SocketAddr,
+    discovery: SocketAddr,
+    _port: OwnedFd,
+}
+
+/// One proxy.
+pub struct Process {
+    pub child: Running,
+    pub log: BufReader<ChildStderr>,
+    pub ops: SocketAddr,
+}
+
+pub fn patient(stream: TcpStream) -> TcpStream {
+    stream.set_read_timeout(Some(PATIENCE)).expect("set");
+    stream
+}
+
+/// Serves each connection in a thread of its own.
+pub fn listen(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let serve = Arc::new(serve);
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let (stream, serve) = (patient(stream.expect("a connection")), Arc::clone(&serve));
+            std::thread::spawn(move || serve(stream));
+        }
+    });
+    address
+}
+
+/// The head of the next message, or none at its end.
+pub fn head(from: &mut BufReader<TcpStream>) -> Option<String> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if from.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    Some(head)
+}
+
+impl Stage {
+    /// With pay servers that listen there, named s-0, s-1 and so on.
+    pub fn new(servers: &[SocketAddr]) -> Stage {
+        let target = |uid: &str, at: SocketAddr| {
+            format!(r#"{{"uid":"{uid}","endpoint":"{at}","az":"seattle","state":"up","capacity_hint":1.0}}"#)
+        };
+        let targets: Vec<String> =
+            servers.iter().enumerate().map(|(n, &at)| target(&format!("s-{n}"), at)).collect();
+        let targets = targets.join(",");
+        let line = format!("{{\"rev\":1,\"all\":true,\"targets\":[{targets}]}}\n");
+        let discovery = listen(move |stream| {
+            let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+            while head(&mut reader).is_some() {
+                let text = format!(
+                    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{line}\r\n",
+                    line.len()
+                );
+                if (&stream).write_all(text.as_bytes()).is_err() {
+                    return;
+                }
+            }
+        });
+        // A port of the system's choice, held without listening so that nobody but the proxies may have it.
+        let port = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None).expect("a socket");
+        rustix::net::bind(&port, &SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
+        set_socket_reuseport(&port, true).expect("set");
+        let listen =
+            SocketAddr::try_from(rustix::net::getsockname(&port).expect("bound")).expect("an address");
+        Stage { folder: tempfile::tempdir().expect("a folder"), listen, discovery, _port: port }
+    }
+
+    pub fn start(&self, tmpdir: Option<&Path>) -> Process {
+        let config = self.folder.path().join("config.json");
+        let text = include_str!("../exchanges/config.json")
+            .replace("{discovery}", &self.discovery.to_string())
+            .replace("127.0.0.1:0", &self.listen.to_string());
+        std::fs::write(&config, text).expect("written");
+        let mut command = Command::new(env!("CARGO_BIN_EXE_ironmast"));
+        command.arg("run").env("GW_CONFIG", config).env("GW_OPS", "127.0.0.1:0").stderr(Stdio::piped());
+        for name in ["GW_NAME", "GW_LISTEN", "GW_DISCOVERY", "TMPDIR"] {
+            command.env_remove(name);
+        }
+        if let Some(tmpdir) = tmpdir {
+            command.env("TMPDIR", tmpdir);
+        }
+        let mut child = Running(command.spawn().expect("it starts"));
+        let mut log = BufReader::new(child.0.stderr.take().expect("piped"));
+        let line = wait_log(&mut log, "operators may call");
+        let ops = line.split_once("ops: ").and_then(|(_, rest)| rest.split(',').next()).expect("an address");
+        Process { child, log, ops: ops.trim().parse().expect("an address") }
+    }
+
+    pub fn place(&self) -> Option<&Path> {
+        Some(self.folder.path())
+    }
+
+    /// One request on a connection of its own.
+    pub fn request(&self, txn: &str) -> String {
+        let mut stream = patient(TcpStream::connect(self.listen).expect("it listens"));
+        write!(stream, "GET /balance HTTP/1.1\r\nHost: a\r\nConnection: close\r\nX-Txn: {txn}\r\n\r\n")
+            .expect("written");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer");
+        answer
+    }
+}
+
+impl Process {
+    pub fn call(&self, line: &str) -> String {
+        let mut stream = patient(TcpStream::connect(self.ops).expect("it hears operators"));
+        stream.write_all(line.as_bytes()).expect("written");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).expect("an answer");
+        answer
+    }
+
+    /// Asks until it is ready.
+    pub fn ready(&self) {
+        let start = Instant::now();
+        while !self.call("ready\n").starts_with("+OK") {
+            assert!(start.elapsed() < PATIENCE, "it never gets ready");
+            std::thread::yield_now();
+        }
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.0.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().expect("kill runs").success());
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/streams.rs
@@ -0,0 +1,369 @@
+//! Long bodies both ways, slow peers and the forms of HTTP/1.1, against the program over sockets.
+
+mod common;
+mod stage;
+
+use std::io::{BufRead as _, BufReader, Read, Write as _};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::time::{Duration, Instant};
+
+use common::{PATIENCE, wait_log};
+use stage::{Process, Stage, head, listen, patient};
+
+/// As long as the agreement allows.
+const LONG: usize = 32 << 20;
+/// Peak of the program's memory while eight such bodies and answers pass, in kB; held whole they were 512 MB.
+const PEAK_MOST: u64 = 32 * 1024;
+
+/// The byte at a place of a long body, so that a mix-up shows.
+fn byte(seed: usize, at: usize) -> u8 {
+    ((at / 4096 + at) as u8).wrapping_mul(31).wrapping_add(seed as u8)
+}
+
+fn bytes(seed: usize, from: usize, count: usize) -> Vec<u8> {
+    (from..from + count).map(|at| byte(seed, at)).collect()
+}
+
+fn header<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines()
+        .find_map(|line| line.split_once(": ").filter(|l| l.0.eq_ignore_ascii_case(name)).map(|l| l.1.trim()))
+}
+
+/// Reads a message's body whatever its framing; none where it broke off.
+fn body(from: &mut BufReader<TcpStream>, head: &str) -> Option<Vec<u8>> {
+    let mut body = Vec::new();
+    if let Some(length) = header(head, "content-length") {
+        body.resize(length.parse().expect("a length"), 0);
+        from.read_exact(&mut body).ok()?;
+    } else if header(head, "transfer-encoding").is_some() {
+        loop {
+            let mut line = String::new();
+            from.read_line(&mut line).ok().filter(|&n| n > 0)?;
+            let size = usize::from_str_radix(line.trim().split(';').next()?, 16).ok()?;
+            let mut chunk = vec![0; size];
+            from.read_exact(&mut chunk).ok()?;
+            body.extend(chunk);
+            let mut end = String::new();
+            while from.read_line(&mut end).ok().filter(|&n| n > 0)? > 2 {}
+            if size == 0 {
+                return Some(body);
+            }
+        }
+    }
+    Some(body)
+}
+
+/// A pay server that answers what `answer` says: told the head and the body (none where it broke off), it writes.
+fn server(answer: impl Fn(&TcpStream, &str, Option<Vec<u8>>) -> bool + Send + Sync + 'static) -> SocketAddr {
+    listen(move |stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+        while let Some(head) = head(&mut reader) {
+            let body = body(&mut reader, &head);
+            if !answer(&stream, &head, body) {
+                return;
+            }
+        }
+    })
+}
+
+fn connect(stage: &Stage) -> BufReader<TcpStream> {
+    BufReader::new(patient(TcpStream::connect(stage.listen).expect("it listens")))
+}
+
+fn started(servers: &[SocketAddr]) -> (Stage, Process) {
+    let stage = Stage::new(servers);
+    let process = stage.start(stage.place());
+    process.ready();
+    (stage, process)
+}
+
+/// A figure of the program's memory, in kB.
+fn memory(process: &Process, which: &str) -> u64 {
+    let path = format!("/proc/{}/status", process.child.0.id());
+    let text = std::fs::read_to_string(path).expect("it lives");
+    let line = text.lines().find(|l| l.starts_with(which)).expect("it is told");
+    line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).expect("a number")
+}
+
+#[test]
+fn eight_bodies_and_answers_of_32_mb_pass_within_a_bound_of_memory() {
+    let echo = server(|mut stream, head, body| {
+        let Some(body) = body else { return false };
+        let chunked = header(head, "x-txn").is_some_and(|txn| txn.ends_with('1'));
+        let framing = if chunked {
+            "transfer-encoding: chunked".into()
+        } else {
+            format!("content-length: {}", body.len())
+        };
+        write!(stream, "HTTP/1.1 200 OK\r\n{framing}\r\n\r\n").expect("written");
+        for part in body.chunks(50_000) {
+            if chunked {
+                write!(stream, "{:x}\r\n", part.len()).expect("written");
+            }
+            stream.write_all(part).expect("written");
+            if chunked {
+                stream.write_all(b"\r\n").expect("written");
+            }
+        }
+        if chunked {
+            stream.write_all(b"0\r\n\r\n").expect("written");
+        }
+        true
+    });
+    let (stage, mut process) = started(&[echo]);
+    std::thread::scope(|scope| {
+        for client in 0..8 {
+            let stage = &stage;
+            scope.spawn(move || {
+                let mut stream = connect(stage);
+                let head = format!(
+                    "POST /deposit-order HTTP/1.1\r\nHost: a\r\nX-Txn: t{client}\r\nContent-Length: {LONG}\r\n\r\n"
+                );
+                stream.get_mut().write_all(head.as_bytes()).expect("written");
+                let part = 1 << 18;
+                for at in (0..LONG).step_by(part) {
+                    stream.get_mut().write_all(&bytes(client, at, part)).expect("written");
+                }
+                let head = stage::head(&mut stream).expect("an answer");
+                assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+                let body = body(&mut stream, &head).expect("whole");
+                assert!(body == bytes(client, 0, LONG), "client {client}: unchanged, {} bytes", body.len());
+            });
+        }
+    });
+    let peak = memory(&process, "VmHWM");
+    println!("peak {peak} kB");
+    assert!(peak < PEAK_MOST, "{peak} kB");
+    process.signal("-TERM");
+    wait_log(&mut process.log, "ending");
+    assert!(process.child.0.wait().expect("it ends").success());
+}
+
+/// A client that does not read holds its pay server up, not the program's memory; others pass meanwhile.
+#[test]
+fn a_reader_that_stops_holds_the_pay_server_up() {
+    let sent = Arc::new(AtomicU64::new(0));
+    let count = Arc::clone(&sent);
+    let long = server(move |mut stream, head, _| {
+        if head.starts_with("GET /balance") && header(head, "x-txn") != Some("long") {
+            return stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").is_ok();
+        }
+        write!(stream, "HTTP/1.1 200 OK\r\ncontent-length: {LONG}\r\n\r\n").expect("written");
+        for at in (0..LONG).step_by(16 * 1024) {
+            if stream.write_all(&bytes(7, at, 16 * 1024)).is_err() {
+                return false;
+            }
+            count.fetch_add(16 * 1024, Ordering::SeqCst);
+        }
+        true
+    });
+    let (stage, process) = started(&[long]);
+    let mut stopped = connect(&stage);
+    stopped.get_mut().write_all(b"GET /balance HTTP/1.1\r\nHost: a\r\nX-Txn: long\r\n\r\n").expect("written");
+    let head = head(&mut stopped).expect("a head at once");
+    // It comes to rest: what the kernel's buffers take, and no more.
+    let mut before = u64::MAX;
+    while sent.load(Ordering::SeqCst) != before {
+        before = sent.load(Ordering::SeqCst);
+        (0..200).for_each(|n| assert!(stage.request(&format!("{before}-{n}")).starts_with("HTTP/1.1 200")));
+    }
+    assert!(before < LONG as u64, "the pay server is held up at {before}");
+    assert!(memory(&process, "VmHWM") < PEAK_MOST);
+    let body = body(&mut stopped, &head).expect("the rest, once it is read");
+    assert!(body == bytes(7, 0, LONG));
+}
+
+#[test]
+fn the_first_bytes_of_a_long_answer_pass_at_once_and_one_that_breaks_off_shows() {
+    let (go, wait): (Sender<()>, Receiver<()>) = channel();
+    let wait = std::sync::Mutex::new(wait);
+    let slow = server(move |mut stream, head, _| {
+        let chunked = header(head, "x-txn") == Some("chunked");
+        let framing = if chunked { "transfer-encoding: chunked" } else { "content-length: 200000" };
+        write!(stream, "HTTP/1.1 200 OK\r\n{framing}\r\n\r\n").expect("written");
+        let first = if chunked { b"186a0\r\n".to_vec() } else { Vec::new() };
+        stream.write_all(&[first, vec![b'x'; 1_000]].concat()).expect("written");
+        wait.lock().expect("free").recv().expect("told to go on");
+        stream.write_all(&[b'x'; 50_000]).expect("written");
+        false
+    });
+    let (stage, _process) = started(&[slow]);
+    for txn in ["sized", "chunked"] {
+        let mut stream = connect(&stage);
+        write!(stream.get_mut(), "GET /balance HTTP/1.1\r\nHost: a\r\nX-Txn: {txn}\r\n\r\n")
+            .expect("written");
+        let head = head(&mut stream).expect("a head at once");
+        assert!(!stream.fill_buf().expect("first bytes").is_empty());
+        go.send(()).expect("it waits");
+        assert!(body(&mut stream, &head).is_none(), "{txn}: its end is missing and that shows");
+    }
+}
+
+/// What has begun to flow to a pay server is not sent again; what is still held whole is.
+#[test]
+fn a_body_that_is_no_longer_held_whole_is_not_repeated() {
+    let tries = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&tries);
+    let breaks = listen(move |mut stream| {
+        let mut part = [0; 128 * 1024];
+        let mut come = 0;
+        while come < 300_000 {
+            match stream.read(&mut part) {
+                Ok(bytes) if bytes > 0 => come += bytes,
+                _ => return,
+            }
+        }
+        count.fetch_add(1, Ordering::SeqCst);
+    });
+    let (stage, _process) = started(&[breaks, breaks]);
+    for (class, key) in [("deposit-order", ""), ("timesheet-post", "Idempotency-Key: k\r\n")] {
+        let before = tries.load(Ordering::SeqCst);
+        let mut stream = connect(&stage);
+        let head = format!(
+            "POST /{class} HTTP/1.1\r\nHost: a\r\nX-Txn: {class}\r\n{key}Content-Length: {LONG}\r\n\r\n"
+        );
+        stream.get_mut().write_all(head.as_bytes()).expect("written");
+        // It is turned away in the middle.
+        while stream.get_mut().write_all(&[b'x'; 16 * 1024]).is_ok() && stream.buffer().is_empty() {
+            stream.get_mut().set_nonblocking(true).expect("set");
+            let _ = stream.fill_buf();
+            stream.get_mut().set_nonblocking(false).expect("set");
+        }
+        let answer = stage::head(&mut stream).unwrap_or_default();
+        assert!(answer.starts_with("HTTP/1.1 503"), "{class}: nothing can have run: `{answer}`");
+        assert_eq!(tries.load(Ordering::SeqCst), before + 1, "{class}");
+    }
+}
+
+#[test]
+fn a_body_of_which_nothing_was_sent_goes_to_another_server() {
+    let gone = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
+    let lengths = Arc::new(std::sync::Mutex::new(Vec::new()));
+    let noted = Arc::clone(&lengths);
+    let good = server(move |mut stream, _, body| {
+        noted.lock().expect("free").push(body.map(|b| b.len()));
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").is_ok()
+    });
+    let (stage, _process) = started(&[gone, good]);
+    for n in 0..4 {
+        let mut stream = connect(&stage);
+        write!(
+            stream.get_mut(),
+            "POST /deposit-order HTTP/1.1\r\nHost: a\r\nX-Txn: {n}\r\nContent-Length: 300000\r\n\r\n"
+        )
+        .expect("written");
+        stream.get_mut().write_all(&[b'x'; 300_000]).expect("written");
+        assert!(head(&mut stream).expect("an answer").starts_with("HTTP/1.1 200"));
+    }
+    assert_eq!(*lengths.lock().expect("free"), [Some(300_000); 4]);
+}
+
+#[test]
+fn a_client_that_stops_in_the_middle_of_a_long_body_is_closed_on_and_its_pay_server_let_go() {
+    let (told, ended) = channel();
+    let told = std::sync::Mutex::new(told);
+    let waits = server(move |_, _, body| {
+        told.lock().expect("free").send(body.is_some()).expect("heard");
+        false
+    });
+    let (stage, _process) = started(&[waits]);
+    let start = Instant::now();
+    let mut stream = connect(&stage);
+    write!(
+        stream.get_mut(),
+        "POST /deposit-order HTTP/1.1\r\nHost: a\r\nX-Txn: a\r\nContent-Length: {LONG}\r\n\r\n"
+    )
+    .expect("written");
+    stream.get_mut().write_all(&[b'x'; 100_000]).expect("written");
+    let _ = stream.read_to_end(&mut Vec::new());
+    assert!(start.elapsed() < Duration::from_secs(10), "closed on");
+    assert_eq!(ended.recv_timeout(PATIENCE), Ok(false), "its body broke off there, too");
+}
+
+#[test]
+fn a_body_without_end_is_an_error_and_never_a_request() {
+    let (told, ended) = channel();
+    let told = std::sync::Mutex::new(told);
+    let waits = server(move |_, _, body| {
+        told.lock().expect("free").send(body.is_some()).expect("heard");
+        false
+    });
+    let (stage, _process) = started(&[waits]);
+    let mut stream = connect(&stage);
+    let head = "POST /deposit-order HTTP/1.1\r\nHost: a\r\nX-Txn: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+    stream.get_mut().write_all(head.as_bytes()).expect("written");
+    let chunk = [b"40000\r\n".to_vec(), vec![b'x'; 0x40000], b"\r\n".to_vec()].concat();
+    let start = Instant::now();
+    while stream.get_mut().write_all(&chunk).is_ok() {
+        assert!(start.elapsed() < Duration::from_secs(10), "it is closed on");
+    }
+    assert_eq!(ended.recv_timeout(PATIENCE), Ok(false));
+}
+
+/// Requests in every form, each byte by itself, come to the pay server as they are; and its answers back.
+#[test]
+fn all_forms_of_requests_and_answers_pass_in_pieces_of_one_byte() {
+    const ANSWERS: [&str; 6] = [
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 \r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nhe\r\n3\r\nllo\r\n0\r\nX-Trailer: t\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhello",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nConnection: close\r\n\r\nhello",
+    ];
+    let next = AtomicUsize::new(0);
+    let pieces = server(move |mut stream, head, body| {
+        if !head.starts_with("POST /deposit-order?k=7 ") || body.as_deref() != Some(b"hi there") {
+            return stream.write_all(b"HTTP/1.1 400 Bad Request\r\ncontent-length: 0\r\n\r\n").is_ok();
+        }
+        let answer = ANSWERS[next.fetch_add(1, Ordering::SeqCst) % ANSWERS.len()];
+        for byte in answer.as_bytes() {
+            if stream.write_all(&[*byte]).is_err() {
+                return false;
+            }
+        }
+        !answer.contains("close")
+    });
+    let (stage, _process) = started(&[pieces]);
+    let requests = [
+        "POST /deposit-order?k=7 HTTP/1.1\r\nHost: a\r\nX-Txn: {txn}\r\nContent-Length: 8\r\n\r\nhi there",
+        "POST /deposit-order?k=7 HTTP/1.1\r\nHost: a\r\nX-Txn: {txn}\r\nTransfer-Encoding: chunked\r\n\r\n3;a\r\nhi \r\n5\r\nthere\r\n0\r\nX-A: b\r\n\r\n",
+        "POST /deposit-order?k=7 HTTP/1.1\r\nHost: a\r\nx-txn: {txn}\r\nConnection: close\r\nContent-Length: 8\r\n\r\nhi there",
+        "POST http://a/deposit-order?k=7 HTTP/1.1\r\nHost: a\r\nX-Txn: {txn}\r\nContent-Length: 8\r\n\r\nhi there",
+        "POST /deposit-order?k=7 HTTP/1.0\r\nHost: a\r\nX-Txn: {txn}\r\nContent-Length: 8\r\n\r\nhi there",
+    ];
+    for (form, request) in requests.iter().enumerate() {
+        for answer in 0..ANSWERS.len() {
+            let mut stream = connect(&stage);
+            let text = request.replace("{txn}", &format!("{form}-{answer}"));
+            for byte in text.as_bytes() {
+                stream.get_mut().write_all(&[*byte]).expect("written");
+            }
+            let head = head(&mut stream).expect("an answer");
+            assert!(head.contains(" 200 "), "{text}: {head}");
+            let came = match header(&head, "content-length") {
+                Some(_) => body(&mut stream, &head).expect("whole"),
+                None => panic!("short answers are held whole: {head}"),
+            };
+            assert_eq!(came, b"hello", "{text}");
+        }
+    }
+    // Two at once, and one that waits to be told to go on.
+    let mut stream = connect(&stage);
+    let two = [requests[0], requests[0]].concat();
+    stream.get_mut().write_all(two.as_bytes()).expect("written");
+    for _ in 0..2 {
+        let head = head(&mut stream).expect("an answer");
+        assert!(head.contains(" 200 "), "{head}");
+        assert_eq!(body(&mut stream, &head).as_deref(), Some(&b"hello"[..]));
+    }
+    let (ask, rest) = requests[0].split_once("\r\n\r\n").expect("a body");
+    write!(stream.get_mut(), "{ask}\r\nExpect: 100-continue\r\n\r\n").expect("written");
+    assert!(head(&mut stream).expect("told").starts_with("HTTP/1.1 100"));
+    stream.get_mut().write_all(rest.as_bytes()).expect("written");
+    let head = head(&mut stream).expect("an answer");
+    assert_eq!(body(&mut stream, &head).as_deref(), Some(&b"hello"[..]));
+}
