Where descriptors are short, slow requests are no longer closed on as silent connections

Line at fault: close_oldest in listener.rs, which closed whoever had come first of those that had asked nothing yet, in the middle of a request or not. Now a connection counts as idle once it has stopped for 0.5 s.

--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -35,8 +35,10 @@
 
 /// A body that flows is given up after this, whatever its client's pace.
 const FLOWS_MOST: Micros = 600_000_000;
-/// A new connection is not taken for a silent one before this.
+/// A new connection is not taken for a silent one before this, and one that is in the middle of a request not
+/// before it has stopped for that long.
 const FRESH: Micros = 50_000;
+const STOPPED: Micros = 500_000;
 /// Connections are kept after an answer while less than this part of the clients' share is idle.
 const IDLE: usize = 3;
 
@@ -78,6 +80,8 @@
     /// It has been answered before; bytes have come since.
     answered: Cell<bool>,
     begun: Cell<bool>,
+    /// When bytes last came.
+    moved: Cell<Micros>,
     /// When it came, was last written to, or began its next request. Without a whole head it is closed
     /// `PATIENCE` later: one that has been answered may stay for 2 s at least.
     since: Cell<Micros>,
@@ -97,6 +101,7 @@
 
 impl Tap for Rc<Door> {
     fn got(&self) {
+        self.moved.set(self.clock.now());
         if !self.begun.replace(true) {
             self.since.set(self.clock.now());
         }
@@ -177,12 +182,14 @@
 
     /// Closes a connection that waits for no answer, if there is one: of those that never asked anything the
     /// oldest, else the longest idle. Guards the usual clients against hundreds of silent ones, and those
-    /// just accepted, whose first bytes are on their way, against being taken for such.
+    /// just accepted, whose first bytes are on their way, or slow in the middle of a request, against being
+    /// taken for such.
     fn close_oldest(&self) {
         let (doors, now) = (self.doors.borrow(), self.clock.now());
         let idle = doors.values().filter(|d| !d.asked.get());
         let fresh = |d: &Door| !d.answered.get() && now < d.since.get() + FRESH;
-        if let Some(door) = idle.min_by_key(|d| (fresh(d), d.answered.get(), d.since.get())) {
+        let moving = |d: &Door| d.begun.get() && now < d.moved.get() + STOPPED;
+        if let Some(door) = idle.min_by_key(|d| (moving(d), fresh(d), d.answered.get(), d.since.get())) {
             door.close.notify_one();
         }
     }
@@ -215,13 +222,17 @@
             match accepted {
                 Ok((stream, _)) => {
                     number += 1;
-                    let (asked, left, answered, begun, close) = Default::default();
+                    let (asked, left, answered, begun, moved, close) = Default::default();
                     let (since, clock) = (Cell::new(self.clock.now()), self.clock);
                     let pace = Rc::new(Cell::new(Pace::new(0)));
-                    let door = Rc::new(Door { asked, left, answered, begun, since, pace, close, clock });
+                    let door =
+                        Rc::new(Door { asked, left, answered, begun, moved, since, pace, close, clock });
                     self.doors.borrow_mut().insert(number, Rc::clone(&door));
                     let stream = Tapped::new(stream, Rc::clone(&door), slot);
                     actix_rt::spawn(Rc::clone(&self).serve(number, door, stream));
+                    // What it has sent is looked at before the next comes: guards requests in a crowd of
+                    // silent connections against being taken for one of them.
+                    tokio::task::yield_now().await;
                 }
                 Err(error) => {
                     // Guards against spinning where descriptors have run out.
--- a/crates/proxy/tests/stage/mod.rs
+++ b/crates/proxy/tests/stage/mod.rs
@@ -18,6 +18,8 @@
     pub folder: tempfile::TempDir,
     pub listen: SocketAddr,
     discovery: SocketAddr,
+    /// Descriptors that each proxy may hold.
+    pub sockets: usize,
     _port: OwnedFd,
 }
 
@@ -86,14 +88,21 @@
         set_socket_reuseport(&port, true).expect("set");
         let listen =
             SocketAddr::try_from(rustix::net::getsockname(&port).expect("bound")).expect("an address");
-        Stage { folder: tempfile::tempdir().expect("a folder"), listen, discovery, _port: port }
+        Stage {
+            folder: tempfile::tempdir().expect("a folder"),
+            listen,
+            discovery,
+            sockets: 1024,
+            _port: port,
+        }
     }
 
     pub fn start(&self, tmpdir: Option<&Path>) -> Process {
         let config = self.folder.path().join("config.json");
         let text = include_str!("../exchanges/config.json")
             .replace("{discovery}", &self.discovery.to_string())
-            .replace("127.0.0.1:0", &self.listen.to_string());
+            .replace("127.0.0.1:0", &self.listen.to_string())
+            .replace("\"sockets\":1024", &format!("\"sockets\":{}", self.sockets));
         std::fs::write(&config, text).expect("written");
         let mut command = Command::new(env!("CARGO_BIN_EXE_ironmast"));
         command.arg("run").env("GW_CONFIG", config).env("GW_OPS", "127.0.0.1:0").stderr(Stdio::piped());
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -367,3 +367,40 @@
     let head = head(&mut stream).expect("an answer");
     assert_eq!(body(&mut stream, &head).as_deref(), Some(&b"hello"[..]));
 }
+
+/// Where descriptors are short, room is made by connections that say nothing, not by one that is in the middle of
+/// a request, though it came first.
+#[test]
+fn a_slow_request_is_not_taken_for_a_silent_connection() {
+    let good = server(|mut stream, _, _| {
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").is_ok()
+    });
+    let mut stage = Stage::new(&[good]);
+    // Twelve for clients.
+    stage.sockets = 60;
+    let process = stage.start(stage.place());
+    process.ready();
+    let request =
+        format!("GET /balance HTTP/1.1\r\nHost: a\r\nX-Pad: {}\r\nX-Txn: slow\r\n\r\n", "x".repeat(10_000));
+    let mut slow = connect(&stage);
+    let mut written = 0;
+    let mut write = |bytes: usize| {
+        slow.get_mut().write_all(&request.as_bytes()[written..written + bytes]).expect("written");
+        written += bytes;
+    };
+    write(1);
+    let silent: Vec<_> = (0..10).map(|_| connect(&stage)).collect();
+    // Until none of them counts as one that has just come.
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_millis(100) {
+        process.call("ready\n");
+        write(1);
+    }
+    for n in 0..5 {
+        write(1);
+        assert!(stage.request(&format!("other-{n}")).starts_with("HTTP/1.1 200"));
+    }
+    slow.get_mut().write_all(&request.as_bytes()[written..]).expect("written");
+    assert!(head(&mut slow).is_some_and(|head| head.starts_with("HTTP/1.1 200")), "the slow one is served");
+    drop(silent);
+}
