An ending process lets in who waits at its door before it closes the listener

Seen: since the listener can be passed on, an ending process kept it open, unaccepted, until its end; before, it was dropped with what waited in its backlog.

--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -70,6 +70,8 @@
     /// Those that wait at the process before this, as it tells.
     elsewhere: RefCell<BTreeSet<String>>,
     empty: Notify,
+    /// Told once, when no new client is to be taken any more.
+    pub stop: Notify,
 }
 
 /// What is known of one client connection.
@@ -129,7 +131,7 @@
         (budget, held): (Budget, Held),
         (serving, partners): (watch::Receiver<bool>, Rc<Partners>),
     ) -> Rc<Self> {
-        let (closing, doors, open, elsewhere, empty) = Default::default();
+        let (closing, doors, open, elsewhere, empty, stop) = Default::default();
         Rc::new(Front {
             setup,
             clock,
@@ -145,6 +147,7 @@
             open,
             elsewhere,
             empty,
+            stop,
         })
     }
 
@@ -216,7 +219,10 @@
                 continue;
             };
             let accepted = tokio::select! {
+                biased;
                 accepted = listener.accept() => accepted,
+                // Nobody waits any more: guards those that do against a reset, as the listener is closed here.
+                () = self.stop.notified() => return,
                 _ = serving.wait_for(|serves| !*serves) => continue,
             };
             match accepted {
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -34,6 +34,8 @@
 
 /// After SIGTERM clients still come for up to 0.4 s and use what they have open.
 const STILL_OPEN: Duration = Duration::from_millis(700);
+/// What waits at the door then is let in, for no longer than this.
+const LAST_COME: Duration = Duration::from_millis(50);
 /// Guards against a proxy that takes requests nobody decides on: it ends and is started again.
 const DRIVERLESS: &str = "the driver of the decision module has ended";
 
@@ -106,7 +108,8 @@
 
     let door = (serving, Rc::clone(&partners));
     let front = Front::new(setup, clock, queue, log.clone(), ready, (client_share, held), door);
-    let accepting = actix_rt::spawn(Rc::clone(&front).accept(Rc::clone(&listener)));
+    let mut accepting = Some(actix_rt::spawn(Rc::clone(&front).accept(Rc::clone(&listener))));
+    let mut listener = Some(listener);
     info!(log, "serving"; "listen" => listen);
 
     let (mut successors, mut finished) = (None::<JoinHandle<()>>, None::<JoinHandle<()>>);
@@ -138,10 +141,17 @@
                 }
                 Action::Finish { linger } => {
                     info!(log, "ending");
-                    let (front, accepting) = (Rc::clone(&front), accepting.abort_handle());
+                    // Nobody comes after this process any more who could be left it.
+                    listener = None;
+                    let (front, accepting) = (Rc::clone(&front), accepting.take());
                     finished = Some(actix_rt::spawn(async move {
                         tokio::time::sleep(STILL_OPEN).await;
-                        accepting.abort();
+                        front.stop.notify_one();
+                        if let Some(mut accepting) = accepting {
+                            // Not for good: guards the end against clients that never cease to come.
+                            let _ = tokio::time::timeout(LAST_COME, &mut accepting).await;
+                            accepting.abort();
+                        }
                         front.finish(linger).await;
                     }));
                 }
@@ -163,7 +173,7 @@
                     let (reply, described) = oneshot::channel();
                     let _ = to_driver.send(Urgent::Describe(reply));
                     let Ok(described) = described.await else { return Err(DRIVERLESS.to_string()) };
-                    let mut passed = vec![listener.as_fd()];
+                    let mut passed: Vec<_> = listener.iter().map(|listener| listener.as_fd()).collect();
                     passed.extend(passed_socket.as_ref().map(|socket| socket.as_fd()));
                     match partners.welcome(stream, described, &passed, &to_heard).await {
                         Ok(()) => Some(Event::SuccessorCame),
