--- a/crates/proxy/tests/operations.rs
+++ b/crates/proxy/tests/operations.rs
@@ -112,10 +112,9 @@
         .collect();
     let stop = Arc::default();
     let load = clients(&stage, &stop);
-    let start = Instant::now();
+    let mut took = Vec::new();
     for (line, told) in [
         ("ready\n", "+OK ready\n"),
-        ("ready", "+OK ready\n"),
         ("disable-server nobody\n", "-ERR no server has the ID `nobody`\n"),
         ("enable-server nobody\n", "-ERR no server has the ID `nobody`\n"),
         ("disable-server s-0\r\n", "+OK s-0 is out of use\n"),
@@ -125,10 +124,16 @@
         ("shutdown\n", "-ERR `shutdown` is not a call: expected"),
         ("ready ready\n", "-ERR `ready` takes no further word"),
     ] {
-        let answer = process.call(if line == "ready" { "ready\n" } else { line });
-        assert!(answer.starts_with(told), "{line}: {answer}");
+        for _ in 0..if line.starts_with("ready\n") { 100 } else { 1 } {
+            let start = Instant::now();
+            let answer = process.call(line);
+            took.push(start.elapsed());
+            assert!(answer.starts_with(told), "{line}: {answer}");
+        }
     }
-    assert!(start.elapsed() < Duration::from_secs(10), "ten calls, each within a second");
+    took.sort();
+    println!("{} calls: median {:?}, worst {:?}", took.len(), took[took.len() / 2], took[took.len() - 1]);
+    assert!(took[took.len() - 1] < Duration::from_secs(1), "each within a second");
     let long = process.call(&"x".repeat(2_000));
     assert!(long.starts_with("-ERR the line is over"), "{long}");
     stop.store(true, Ordering::SeqCst);
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -69,6 +69,17 @@
     })
 }
 
+/// A pay server that never answers, and hears whether each body came whole.
+fn listener_for_ends() -> (SocketAddr, Receiver<bool>) {
+    let (told, ended) = channel();
+    let told = std::sync::Mutex::new(told);
+    let waits = server(move |_, _, body| {
+        told.lock().expect("free").send(body.is_some()).expect("heard");
+        false
+    });
+    (waits, ended)
+}
+
 fn connect(stage: &Stage) -> BufReader<TcpStream> {
     BufReader::new(patient(TcpStream::connect(stage.listen).expect("it listens")))
 }
@@ -263,12 +274,7 @@
 
 #[test]
 fn a_client_that_stops_in_the_middle_of_a_long_body_is_closed_on_and_its_pay_server_let_go() {
-    let (told, ended) = channel();
-    let told = std::sync::Mutex::new(told);
-    let waits = server(move |_, _, body| {
-        told.lock().expect("free").send(body.is_some()).expect("heard");
-        false
-    });
+    let (waits, ended) = listener_for_ends();
     let (stage, _process) = started(&[waits]);
     let start = Instant::now();
     let mut stream = connect(&stage);
@@ -285,12 +291,7 @@
 
 #[test]
 fn a_body_without_end_is_an_error_and_never_a_request() {
-    let (told, ended) = channel();
-    let told = std::sync::Mutex::new(told);
-    let waits = server(move |_, _, body| {
-        told.lock().expect("free").send(body.is_some()).expect("heard");
-        false
-    });
+    let (waits, ended) = listener_for_ends();
     let (stage, _process) = started(&[waits]);
     let mut stream = connect(&stage);
     let head = "POST /deposit-order HTTP/1.1\r\nHost: a\r\nX-Txn: a\r\nTransfer-Encoding: chunked\r\n\r\n";
