One stream tells a client's pace; a body that came whole is held; windows alone are counted

Written twice: the waits and arrivals of a body's parts were told to its pace by the listener's loop and by Inflow::poll_rest; both now read one stream (Paced), and Inflow needs neither clock nor pace. At the wrong depth: a body over 64 KiB that had come whole at once flowed as one of which nothing was drawn, so that only the order of polls kept a break after its last byte from counting as never run; it is held whole now, and the usual outcomes hold for it. Its new test passes before as well; it guards what was argued only.

--- a/crates/proxy/src/bodies.rs
+++ b/crates/proxy/src/bodies.rs
@@ -34,7 +34,8 @@
 /// A pay server that sends nothing more of an answer for this long has broken off.
 const BROKEN_OFF: Duration = Duration::from_secs(5);
 
-/// Bytes of bodies that are held, over all connections. The one owner of that sum.
+/// Bytes that bodies which flow may hold, over all connections. The one owner of that sum. Bodies that are held
+/// whole are not counted: the number of connections bounds them.
 #[derive(Clone)]
 pub struct Held {
     most: usize,
@@ -49,42 +50,25 @@
         Held { most, now: Rc::default(), returned: Rc::default() }
     }
 
-    /// Counts a body that is held whole. It is never made to wait: the number of connections bounds the sum.
-    pub fn count(&self) -> Hold {
-        Hold { of: self.clone(), bytes: 0 }
-    }
-
     /// Waits until there is room for the window of one more body that flows, and counts it.
     pub async fn window(&self) -> Hold {
         while self.now.get() + WINDOW > self.most {
             self.returned.notified().await;
         }
-        let mut hold = self.count();
-        hold.grow(WINDOW);
+        self.now.set(self.now.get() + WINDOW);
         // Whoever waits next looks for itself.
         self.returned.notify_one();
-        hold
+        Hold(self.clone())
     }
 }
 
-/// A part of what is held, given back on drop and nowhere else.
-pub struct Hold {
-    of: Held,
-    bytes: usize,
-}
-
-impl Hold {
-    /// So many more.
-    pub fn grow(&mut self, bytes: usize) {
-        self.bytes += bytes;
-        self.of.now.set(self.of.now.get() + bytes);
-    }
-}
+/// One window, given back on drop and nowhere else.
+pub struct Hold(Held);
 
 impl Drop for Hold {
     fn drop(&mut self) {
-        self.of.now.set(self.of.now.get() - self.bytes);
-        self.of.returned.notify_one();
+        self.0.now.set(self.0.now.get() - WINDOW);
+        self.0.returned.notify_one();
     }
 }
 
@@ -125,12 +109,39 @@
 /// What arrives of a body; an error where it breaks off.
 pub type Parts = Pin<Box<dyn Stream<Item = Result<Bytes, io::Error>>>>;
 
+/// The parts of a request's body, each wait for them told to its client's pace.
+pub struct Paced {
+    parts: Parts,
+    clock: Clock,
+    pace: Rc<Cell<Pace>>,
+}
+
+impl Paced {
+    /// The same parts, watched.
+    pub fn new(parts: Parts, clock: Clock, pace: Rc<Cell<Pace>>) -> Self {
+        Paced { parts, clock, pace }
+    }
+}
+
+impl Stream for Paced {
+    type Item = Result<Bytes, io::Error>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let (polled, now, mut pace) = (self.parts.as_mut().poll_next(cx), self.clock.now(), self.pace.get());
+        match &polled {
+            Poll::Pending => pace.waits(now),
+            Poll::Ready(Some(Ok(part))) => pace.came(now, part.len()),
+            Poll::Ready(_) => pace.came(now, 0),
+        }
+        self.pace.set(pace);
+        polled
+    }
+}
+
 /// The body of a request that flows from its client to a pay server.
 pub struct Inflow {
     /// Its length, where the client told it.
     pub length: Option<u64>,
-    clock: Clock,
-    pace: Rc<Cell<Pace>>,
     first: RefCell<Bytes>,
     rest: RefCell<Parts>,
     /// Bytes that have come, the first part included.
@@ -160,8 +171,6 @@
     pub fn new(
         (first, rest): (Bytes, Parts),
         length: Option<u64>,
-        clock: Clock,
-        pace: Rc<Cell<Pace>>,
         hold: Hold,
         whole: impl FnOnce() + 'static,
     ) -> Self {
@@ -169,7 +178,7 @@
         let come = Cell::new(first.len() as u64);
         let (first, rest) = (RefCell::new(first), RefCell::new(rest));
         let whole = RefCell::new(Some(Box::new(whole) as Box<dyn FnOnce()>));
-        Inflow { length, clock, pace, first, rest, come, drawn, ended, broken, broke, whole, _hold: hold }
+        Inflow { length, first, rest, come, drawn, ended, broken, broke, whole, _hold: hold }
     }
 
     /// Whether it is still held whole, so that another attempt may have it.
@@ -201,16 +210,10 @@
     }
 
     fn poll_rest(&self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, io::Error>>> {
-        let (polled, mut pace) = (self.rest.borrow_mut().as_mut().poll_next(cx), self.pace.get());
-        let Poll::Ready(item) = polled else {
-            pace.waits(self.clock.now());
-            self.pace.set(pace);
-            return Poll::Pending;
-        };
-        let bytes = item.as_ref().map_or(0, |part| part.as_ref().map_or(0, Bytes::len));
-        pace.came(self.clock.now(), bytes);
-        self.pace.set(pace);
-        self.come.set(self.come.get() + bytes as u64);
+        let item = ready!(self.rest.borrow_mut().as_mut().poll_next(cx));
+        if let Some(Ok(part)) = &item {
+            self.come.set(self.come.get() + part.len() as u64);
+        }
         if !self.drawn.replace(true) {
             // It is of no more use.
             self.first.take();
@@ -343,14 +346,11 @@
     #[tokio::test]
     async fn windows_wait_for_room_and_give_it_back() {
         let held = Held::new(1);
-        let mut small = held.count();
-        small.grow(100);
         let one = held.window().await;
         let waits = tokio::time::timeout(Duration::from_millis(20), held.window()).await;
         assert!(waits.is_err(), "a third of one MB has room for one window");
         drop(one);
         drop(held.window().await);
-        drop(small);
         assert_eq!(held.now.get(), 0);
     }
 }
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -24,7 +24,7 @@
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, oneshot, watch};
 
-use crate::bodies::{BODY_MOST, Body, HELD_MOST, Held, Inflow, PATIENCE, Pace, Parts};
+use crate::bodies::{BODY_MOST, Body, HELD_MOST, Held, Inflow, PATIENCE, Pace, Paced, Parts};
 use crate::clock::Clock;
 use crate::handover::Partners;
 use crate::message::{Answer, Arrival, Message, Payload, Queue, Sent, Ticket};
@@ -393,23 +393,17 @@
         ticket: Ticket,
         door: &Rc<Door>,
     ) -> Result<Sent, ()> {
-        let (mut begun, mut hold) = (BytesMut::new(), self.held.count());
-        let mut parts: Parts = Box::pin(parts.map_err(io::Error::other));
         door.pace.set(Pace::new(door.since.get()));
+        let parts = Box::pin(parts.map_err(io::Error::other));
+        let mut parts = Paced::new(parts, self.clock, Rc::clone(&door.pace));
+        let mut begun = BytesMut::new();
         // Nothing goes to a pay server before there is more than can be held: guards its connections against
         // clients that announce much and send little.
         let long = loop {
-            let mut pace = door.pace.get();
-            pace.waits(self.clock.now());
-            door.pace.set(pace);
-            let part = parts.next().await;
-            pace.came(self.clock.now(), part.as_ref().map_or(0, |part| part.as_ref().map_or(0, Bytes::len)));
-            door.pace.set(pace);
-            let Some(part) = part else { break false };
-            let part = part.map_err(|_| ())?;
-            hold.grow(part.len());
-            begun.extend_from_slice(&part);
-            if begun.len() > HELD_MOST {
+            let Some(part) = parts.next().await else { break false };
+            begun.extend_from_slice(&part.map_err(|_| ())?);
+            // One that is all there already is held, not sent on: whoever has it whole may run it.
+            if begun.len() > HELD_MOST && length.is_none_or(|length| (begun.len() as u64) < length) {
                 break true;
             }
         };
@@ -427,8 +421,7 @@
             left = left.checked_sub(part.len()).ok_or_else(|| io::Error::other("the body is over 32 MB"))?;
             Ok(part)
         }));
-        let (clock, pace) = (self.clock, Rc::clone(&door.pace));
-        Ok(Sent::Flowing(Rc::new(Inflow::new((begun, parts), length, clock, pace, window, whole))))
+        Ok(Sent::Flowing(Rc::new(Inflow::new((begun, parts), length, window, whole))))
     }
 
     /// Hands a request to the driver and waits for its answer.
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -15,6 +15,8 @@
 
 /// As long as the agreement allows.
 const LONG: usize = 32 << 20;
+/// Up to here the program holds a body whole.
+const HELD: usize = 64 * 1024;
 /// Peak of the program's memory while eight such bodies and answers pass, in kB; held whole they were 512 MB.
 const PEAK_MOST: u64 = 32 * 1024;
 
@@ -249,6 +251,30 @@
     }
 }
 
+/// A body somewhat over what is held may have come whole by the time it is seen to be long: the pay server has all
+/// of it then, and may have run it.
+#[test]
+fn a_long_body_that_came_whole_at_once_may_have_run_and_is_not_repeated() {
+    let runs = Arc::new(AtomicUsize::new(0));
+    let count = Arc::clone(&runs);
+    let breaks = server(move |_, _, body| {
+        count.fetch_add(usize::from(body.is_some()), Ordering::SeqCst);
+        false
+    });
+    let (stage, _process) = started(&[breaks, breaks]);
+    for n in 0..20 {
+        let mut stream = connect(&stage);
+        let length = HELD + 1 + 100 * n;
+        let head = format!(
+            "POST /deposit-order HTTP/1.1\r\nHost: a\r\nX-Txn: {n}\r\nContent-Length: {length}\r\n\r\n"
+        );
+        stream.get_mut().write_all(&[head.into_bytes(), vec![b'x'; length]].concat()).expect("written");
+        let answer = stage::head(&mut stream).expect("an answer");
+        assert!(answer.starts_with("HTTP/1.1 502"), "it may have run: {answer}");
+        assert_eq!(runs.load(Ordering::SeqCst), n + 1, "once");
+    }
+}
+
 #[test]
 fn a_body_of_which_nothing_was_sent_goes_to_another_server() {
     let gone = TcpListener::bind("127.0.0.1:0").expect("a port").local_addr().expect("bound");
