--- /dev/null
+++ b/crates/stage/src/fault.rs
@@ -0,0 +1,241 @@
+//! Faults on links as a schedule: which fault holds on a link, in one direction, at a moment of the run.
+//!
+//! No I/O here: the relays ask [`Schedule::fault`] for each piece they carry and each connection they take. The format
+//! follows the emulator's scenarios (times as `_s` floats, one table a trouble), so that one file can hold both:
+//!
+//! ```toml
+//! [[fault]]
+//! at_s = 12.0
+//! link = "proxy3->*"
+//! kind = "cut-one-way"
+//! for_s = 8.0
+//! ```
+//!
+//! A link is named `FROM->TO` for the bytes that flow from FROM to TO; a pattern's side may be `*`, or end in `*` to
+//! match a prefix (`server*`). Kinds follow the network section of the protocol page: a machine that is cut off gives no
+//! sign (bytes vanish, new connections never come up), a dead process resets and refuses.
+
+use std::time::Duration;
+
+use serde::Deserialize;
+
+/// What a link does to what it carries, in one direction.
+#[derive(Clone, Copy, Debug, PartialEq, serde::Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// Bytes pass as they come.
+    Pass,
+    /// Cut without a sign both ways: bytes vanish, connections stay open and silent, new ones never come up.
+    Cut,
+    /// Cut without a sign in this direction only: the far side hears nothing of the near one, the near side still
+    /// hears the far one (a one-sided cut).
+    CutOneWay,
+    /// Each piece waits `delay_ms`, plus up to `jitter_ms` more, before it passes.
+    Delay,
+    /// Connections that carry bytes are reset, and new ones are reset as they come up.
+    Reset,
+    /// New connections are refused (reset at once); open ones go on.
+    Refuse,
+    /// At most `bytes_per_s` pass a second.
+    Rate,
+}
+
+/// One fault of a schedule, as written in a scenario's `[[fault]]` table.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// When it begins, in seconds from the start of the run; 0 or more.
+    pub at_s: f64,
+    /// The links it meets, `FROM->TO` with `*` patterns.
+    pub link: String,
+    /// What it does.
+    pub kind: Kind,
+    /// How long it lasts in seconds; none: to the end of the run.
+    #[serde(default)]
+    pub for_s: Option<f64>,
+    /// For `delay`: the wait of each piece in milliseconds.
+    #[serde(default)]
+    pub delay_ms: f64,
+    /// For `delay`: up to this many milliseconds more, drawn for each piece.
+    #[serde(default)]
+    pub jitter_ms: f64,
+    /// For `rate`: bytes a second, more than 0.
+    #[serde(default)]
+    pub bytes_per_s: f64,
+}
+
+/// A fault that a schedule cannot hold, named with its place in the schedule (counted from 0).
+#[derive(Debug, thiserror::Error, PartialEq)]
+pub enum FaultError {
+    /// The link is not `FROM->TO`.
+    #[error("fault {0}: link `{1}` is not FROM->TO")]
+    Link(usize, String),
+    /// A time is negative or not a number.
+    #[error("fault {0}: times are seconds of 0 or more")]
+    Time(usize),
+    /// A `rate` fault without a rate above 0, or a `delay` fault without a wait.
+    #[error("fault {0}: a {1} fault needs {2} above 0")]
+    Missing(usize, &'static str, &'static str),
+}
+
+/// What a relay must do, as the schedule tells it for one link and direction at one moment.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Action {
+    /// Pass the piece.
+    Pass,
+    /// Let the piece vanish (and hold new connections silent).
+    Swallow,
+    /// Wait so long, then pass.
+    Wait(Duration),
+    /// Reset the connection.
+    Reset,
+    /// Refuse a new connection; pass pieces on open ones.
+    Refuse,
+    /// Pass at most so many bytes a second.
+    Rate(f64),
+}
+
+/// Faults over a run. Where several hold on one link at once, the one that began last counts.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Schedule {
+    faults: Vec<Fault>,
+}
+
+fn side_matches(pattern: &str, name: &str) -> bool {
+    match pattern.strip_suffix('*') {
+        Some(prefix) => name.starts_with(prefix),
+        None => pattern == name,
+    }
+}
+
+/// Whether `pattern` (`FROM->TO`, sides with `*`) names the link `from->to`.
+pub fn link_matches(pattern: &str, from: &str, to: &str) -> bool {
+    pattern.split_once("->").is_some_and(|(a, b)| side_matches(a, from) && side_matches(b, to))
+}
+
+impl Schedule {
+    /// Checks each fault; sorts them by their start.
+    pub fn new(mut faults: Vec<Fault>) -> Result<Schedule, FaultError> {
+        for (n, fault) in faults.iter().enumerate() {
+            let parts = fault.link.split_once("->");
+            if parts.is_none_or(|(a, b)| a.is_empty() || b.is_empty() || b.contains("->")) {
+                return Err(FaultError::Link(n, fault.link.clone()));
+            }
+            let times = [fault.at_s, fault.for_s.unwrap_or(0.0), fault.delay_ms, fault.jitter_ms];
+            if times.iter().any(|t| !(t.is_finite() && *t >= 0.0)) {
+                return Err(FaultError::Time(n));
+            }
+            if fault.kind == Kind::Rate && !(fault.bytes_per_s > 0.0 && fault.bytes_per_s.is_finite()) {
+                return Err(FaultError::Missing(n, "rate", "bytes_per_s"));
+            }
+            if fault.kind == Kind::Delay && fault.delay_ms + fault.jitter_ms <= 0.0 {
+                return Err(FaultError::Missing(n, "delay", "delay_ms"));
+            }
+        }
+        faults.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+        Ok(Schedule { faults })
+    }
+
+    /// The faults, by their start.
+    pub fn faults(&self) -> &[Fault] {
+        &self.faults
+    }
+
+    /// Adds a fault that begins at once; used for faults set on a call during a run.
+    pub fn push(&mut self, fault: Fault) -> Result<(), FaultError> {
+        let mut all = std::mem::take(&mut self.faults);
+        all.push(fault);
+        *self = Schedule::new(all)?;
+        Ok(())
+    }
+
+    /// The fault that holds on bytes from `from` to `to` at `elapsed`, if any.
+    pub fn fault(&self, from: &str, to: &str, elapsed: Duration) -> Option<&Fault> {
+        let now = elapsed.as_secs_f64();
+        self.faults.iter().rev().find(|f| {
+            f.at_s <= now && f.for_s.is_none_or(|d| now < f.at_s + d) && link_matches(&f.link, from, to)
+        })
+    }
+
+    /// What to do with a piece from `from` to `to` at `elapsed`; `draw` is a number in [0, 1) for the jitter.
+    ///
+    /// A `cut` on either direction swallows both; a `cut-one-way` only its own.
+    pub fn action(&self, from: &str, to: &str, elapsed: Duration, draw: f64) -> Action {
+        let reverse = self.fault(to, from, elapsed).filter(|f| f.kind == Kind::Cut);
+        match reverse.or_else(|| self.fault(from, to, elapsed)) {
+            None => Action::Pass,
+            Some(f) => match f.kind {
+                Kind::Pass => Action::Pass,
+                Kind::Cut | Kind::CutOneWay => Action::Swallow,
+                Kind::Delay => Action::Wait(Duration::from_secs_f64((f.delay_ms + draw * f.jitter_ms) / 1e3)),
+                Kind::Reset => Action::Reset,
+                Kind::Refuse => Action::Refuse,
+                Kind::Rate => Action::Rate(f.bytes_per_s),
+            },
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn fault(at_s: f64, link: &str, kind: Kind, for_s: Option<f64>) -> Fault {
+        Fault { at_s, link: link.into(), kind, for_s, delay_ms: 5.0, jitter_ms: 0.0, bytes_per_s: 10.0 }
+    }
+
+    #[test]
+    fn a_fault_holds_from_its_start_for_its_length_on_the_links_it_names() {
+        let s = Schedule::new(vec![fault(2.0, "proxy3->*", Kind::CutOneWay, Some(8.0))]).expect("valid");
+        let at = Duration::from_secs_f64;
+        assert_eq!(s.action("proxy3", "server0", at(1.9), 0.0), Action::Pass);
+        assert_eq!(s.action("proxy3", "server0", at(2.0), 0.0), Action::Swallow);
+        assert_eq!(
+            s.action("server0", "proxy3", at(5.0), 0.0),
+            Action::Pass,
+            "one-sided: proxy3 still hears"
+        );
+        assert_eq!(s.action("proxy2", "server0", at(5.0), 0.0), Action::Pass);
+        assert_eq!(s.action("proxy3", "server0", at(10.0), 0.0), Action::Pass);
+    }
+
+    #[test]
+    fn a_whole_cut_silences_both_directions_and_the_latest_fault_counts() {
+        let s = Schedule::new(vec![
+            fault(0.0, "server*->proxy1", Kind::Delay, None),
+            fault(1.0, "proxy1->server2", Kind::Cut, Some(1.0)),
+        ])
+        .expect("valid");
+        let at = Duration::from_secs_f64;
+        assert_eq!(s.action("server2", "proxy1", at(0.5), 0.5), Action::Wait(Duration::from_millis(5)));
+        assert_eq!(s.action("server2", "proxy1", at(1.5), 0.0), Action::Swallow);
+        assert_eq!(s.action("proxy1", "server2", at(1.5), 0.0), Action::Swallow);
+        assert_eq!(s.action("server2", "proxy1", at(2.5), 0.0), Action::Wait(Duration::from_millis(5)));
+    }
+
+    #[test]
+    fn bad_faults_are_told_with_their_place() {
+        let bad = |f: Fault| Schedule::new(vec![fault(0.0, "a->b", Kind::Pass, None), f]).expect_err("bad");
+        assert_eq!(bad(fault(0.0, "ab", Kind::Cut, None)), FaultError::Link(1, "ab".into()));
+        assert_eq!(bad(fault(0.0, "a->", Kind::Cut, None)), FaultError::Link(1, "a->".into()));
+        assert_eq!(bad(fault(-1.0, "a->b", Kind::Cut, None)), FaultError::Time(1));
+        assert_eq!(bad(fault(0.0, "a->b", Kind::Cut, Some(f64::NAN))), FaultError::Time(1));
+        let mut rate = fault(0.0, "a->b", Kind::Rate, None);
+        rate.bytes_per_s = 0.0;
+        assert_eq!(bad(rate), FaultError::Missing(1, "rate", "bytes_per_s"));
+    }
+
+    #[test]
+    fn faults_read_from_a_scenario_table() {
+        #[derive(Deserialize)]
+        struct File {
+            fault: Vec<Fault>,
+        }
+        let text = "[[fault]]\nat_s = 12.0\nlink = \"proxy3->*\"\nkind = \"cut-one-way\"\nfor_s = 8.0\n";
+        let file: File = toml::from_str(text).expect("read");
+        let s = Schedule::new(file.fault).expect("valid");
+        assert_eq!(s.faults()[0].kind, Kind::CutOneWay);
+        let wrong = toml::from_str::<File>("[[fault]]\nat_s = 1.0\nlink = \"a->b\"\nkind = \"melt\"\n");
+        assert!(wrong.is_err_and(|e| e.to_string().contains("melt")));
+    }
+}
--- /dev/null
+++ b/crates/stage/src/lib.rs
@@ -0,0 +1,48 @@
+//! The fault stage: several ironmast processes on loopback, stand-in pay servers and discovery, and relays that put
+//! faults on the links between them.
+//!
+//! Design and the option turned down: `docs/design/stage.md`. The parts, each with one owner that gives its
+//! resources back when dropped:
+//!
+//! - [`fault`]: the schedule of faults on links, without I/O;
+//! - [`relay`]: TCP relays that carry one link each under the schedule;
+//! - [`standin`]: pay servers with an execution record, and discovery;
+//! - [`process`]: proxies as processes, signalled by pid, measured from /proc;
+//! - [`load`]: open-loop clients, bounded, loopback only;
+//! - [`verdict`]: what clients saw against what pay servers ran.
+
+#![forbid(unsafe_code)]
+
+pub mod fault;
+pub mod load;
+pub mod process;
+pub mod relay;
+pub mod standin;
+pub mod verdict;
+
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+/// Refuses any address off loopback: the stage sends nothing elsewhere.
+pub fn loopback(address: SocketAddr) -> std::io::Result<()> {
+    if address.ip().is_loopback() {
+        Ok(())
+    } else {
+        Err(std::io::Error::new(
+            std::io::ErrorKind::InvalidInput,
+            format!("{address} is not a loopback address"),
+        ))
+    }
+}
+
+/// One line to a proxy's operators' address and its answer's line (`+OK ...` or `-ERR ...`), within 1 s.
+pub fn call(ops: SocketAddr, line: &str) -> std::io::Result<String> {
+    loopback(ops)?;
+    let mut stream = TcpStream::connect_timeout(&ops, Duration::from_secs(1))?;
+    stream.set_read_timeout(Some(Duration::from_secs(1)))?;
+    stream.write_all(format!("{line}\n").as_bytes())?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer)?;
+    Ok(answer.trim_end().to_string())
+}
