Fault stage: each fault kind on one pay server's links, the other keeps serving

Change: one test with a whole cut, reset, refusal, delay with jitter and a rate limit on one pay server's links in turn, and late lists from discovery throughout.

--- a/crates/proxy/tests/faults.rs
+++ b/crates/proxy/tests/faults.rs
@@ -6,6 +6,7 @@
 use std::os::fd::OwnedFd;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use ironmast_stage::fault::{Fault, Kind, Schedule};
@@ -27,7 +28,7 @@
     servers: Vec<PayServer>,
     places: Vec<(SocketAddr, OwnedFd, PathBuf)>,
     proxies: Vec<Option<Proxy>>,
-    _relays: Vec<Relay>,
+    relays: Vec<Relay>,
     _discoveries: Vec<Discovery>,
 }
 
@@ -88,7 +89,7 @@
             servers,
             places,
             proxies: (0..proxies).map(|_| None).collect(),
-            _relays: relays,
+            relays,
             _discoveries: discoveries,
         };
         for p in 0..proxies {
@@ -217,3 +218,46 @@
     assert!(waited.iter().all(|s| s.outcome == Outcome::Served), "{waited:?}");
     assert!(waited.iter().any(|s| s.latency > Duration::from_millis(100)), "nothing waited: {waited:?}");
 }
+
+fn fault(at_s: f64, link: &str, kind: Kind, for_s: f64) -> Fault {
+    Fault {
+        at_s,
+        link: link.into(),
+        kind,
+        for_s: Some(for_s),
+        delay_ms: 0.0,
+        jitter_ms: 0.0,
+        bytes_per_s: 0.0,
+    }
+}
+
+#[test]
+fn each_fault_kind_on_one_pay_server_leaves_the_other_serving_and_nothing_twice() {
+    let slow = Fault { delay_ms: 30.0, jitter_ms: 20.0, ..fault(3.5, "server0->proxy0", Kind::Delay, 1.0) };
+    let narrow = Fault { bytes_per_s: 2000.0, ..fault(4.5, "server0->proxy0", Kind::Rate, 1.0) };
+    let late_lists = Fault { delay_ms: 200.0, ..fault(0.0, "discovery->proxy0", Kind::Delay, 6.0) };
+    let schedule = vec![
+        fault(0.5, "proxy0->server0", Kind::Cut, 1.0),
+        fault(1.5, "proxy0->server0", Kind::Reset, 1.0),
+        fault(2.5, "proxy0->server0", Kind::Refuse, 1.0),
+        slow,
+        narrow,
+        late_lists,
+    ];
+    let mut stage = Stage::new(2, 1, schedule);
+    let reports = stage.load(&shape("/deposit-order", 40.0, 6.0), |_| {});
+    let v = judged(&stage, &reports);
+    let to_s0 = &stage.relays[0].counts;
+    let (held, resets) = (to_s0.held.load(Ordering::Relaxed), to_s0.resets.load(Ordering::Relaxed));
+    eprintln!("to s-0: {} connections, {held} pieces held by the cut, {resets} reset or refused", {
+        to_s0.connections.load(Ordering::Relaxed)
+    });
+    assert!(resets > 0, "no connection met the reset or the refusal");
+    // Each fault lasts a second; within it the proxy turns to s-1 and serves whole spans again.
+    for start in [0.5, 1.5, 2.5] {
+        let from = Duration::from_secs_f64(start);
+        let back = verdict::back(&reports[0].sent, from, Duration::from_millis(300)).expect("served again");
+        assert!(back < from + Duration::from_secs(1), "fault at {start} s: whole again only at {back:?}");
+    }
+    assert!(v.served * 10 >= v.sent * 9, "served {} of {}", v.served, v.sent);
+}
