The stage's layout moves into crates/stage; the proxies' configuration is kept there once

Cause: the lab's demo and the proxy's fault tests need the same stage; the test held its own copy of the layout, and the configuration template lived in the proxy's test folder.

Change: ironmast_stage::stage::Stage (pay servers by zone named ZONE-N, one discovery and relays per proxy, proxies restarted on their clients' address and state directory) and ironmast_stage::CONFIG, which all proxy tests now read.

--- a/crates/proxy/tests/exchanges.rs
+++ b/crates/proxy/tests/exchanges.rs
@@ -28,7 +28,7 @@
 
 #[test]
 fn a_bad_configuration_is_told_in_one_line() {
-    let sound = include_str!("exchanges/config.json").replace("{discovery}", "127.0.0.1:9");
+    let sound = ironmast_stage::CONFIG.replace("{discovery}", "127.0.0.1:9");
     for (from, to, told) in [
         ("{\"name\"", "\"name\"", "config"),
         ("\"8c1f30d27a5be964\"", "\"green\"", "seed"),
@@ -46,7 +46,7 @@
 
 #[test]
 fn the_command_line_checks_a_configuration_without_serving() {
-    let sound = include_str!("exchanges/config.json").replace("{discovery}", "127.0.0.1:9");
+    let sound = ironmast_stage::CONFIG.replace("{discovery}", "127.0.0.1:9");
     let bad = sound.replace("\"zone\":\"seattle\"", "\"zone\":\"boise\"");
     for (text, code, said) in [
         (sound.as_str(), 0, "sound: n1 listens on 127.0.0.1:0 in zone seattle"),
@@ -65,7 +65,7 @@
 #[test]
 fn the_log_is_json_where_that_is_asked_for() {
     let file = tempfile::NamedTempFile::new().expect("a file");
-    let text = include_str!("exchanges/config.json").replace("{discovery}", "127.0.0.1:9");
+    let text = ironmast_stage::CONFIG.replace("{discovery}", "127.0.0.1:9");
     std::fs::write(file.path(), text).expect("written");
     let mut command = Command::new(env!("CARGO_BIN_EXE_ironmast"));
     command.args(["run", "--log-format", "json"]).env("GW_CONFIG", file.path());
@@ -96,7 +96,7 @@
     };
     let known =
         format!(r#"{{"rev":7,"all":true,"targets":[{},{}]}}"#, target("gone", gone), target("live", live));
-    let config = include_str!("exchanges/config.json")
+    let config = ironmast_stage::CONFIG
         .replace("{discovery}", &discovery.local_addr().expect("bound").to_string())
         .replace("\"balancers\":1,", "\"balancers\":16,")
         .replace(
--- a/crates/proxy/tests/exchanges/player.rs
+++ b/crates/proxy/tests/exchanges/player.rs
@@ -48,7 +48,7 @@
 }
 
 fn config(discovery: &str) -> String {
-    include_str!("../exchanges/config.json").replace("{discovery}", discovery)
+    ironmast_stage::CONFIG.replace("{discovery}", discovery)
 }
 
 pub fn play(script: &str) -> String {
--- a/crates/proxy/tests/stage/mod.rs
+++ b/crates/proxy/tests/stage/mod.rs
@@ -104,7 +104,7 @@
     /// The same, with variables of the environment.
     pub fn start_with(&self, tmpdir: Option<&Path>, variables: &[(&str, &str)]) -> Process {
         let config = self.folder.path().join("config.json");
-        let text = include_str!("../exchanges/config.json")
+        let text = ironmast_stage::CONFIG
             .replace("{discovery}", &self.discovery.to_string())
             .replace("127.0.0.1:0", &self.listen.to_string())
             .replace("\"sockets\":1024", &format!("\"sockets\":{}", self.sockets));
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -9,7 +9,8 @@
 //! - [`standin`]: pay servers with an execution record, and discovery;
 //! - [`process`]: proxies as processes, signalled by pid, measured from /proc;
 //! - [`load`]: open-loop clients, bounded, loopback only;
-//! - [`verdict`]: what clients saw against what pay servers ran.
+//! - [`verdict`]: what clients saw against what pay servers ran;
+//! - [`stage`]: all of it laid out and started together.
 
 #![forbid(unsafe_code)]
 
@@ -17,6 +18,7 @@
 pub mod load;
 pub mod process;
 pub mod relay;
+pub mod stage;
 pub mod standin;
 pub mod verdict;
 
@@ -24,6 +26,10 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
+/// The proxies' configuration on a stage: the settings of the site's deployment in the proxy's JSON form, with
+/// `{discovery}`, `127.0.0.1:0` (the clients' address), `"name":"n1"` and `"balancers":1,"me":0` to be filled in.
+pub const CONFIG: &str = include_str!("proxy.json");
+
 /// Refuses any address off loopback: the stage sends nothing elsewhere.
 pub fn loopback(address: SocketAddr) -> std::io::Result<()> {
     if address.ip().is_loopback() {
--- /dev/null
+++ b/crates/stage/src/stage.rs
@@ -0,0 +1,204 @@
+//! A whole stage: pay servers by zone, one discovery and relays for each proxy, the proxies themselves.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rustix::net::sockopt::set_socket_reuseport;
+use rustix::net::{AddressFamily, SocketType};
+
+use crate::fault::{FaultError, Schedule};
+use crate::load::{self, Report, Shape};
+use crate::process::{Proxy, StartError};
+use crate::relay::{Faults, Relay};
+use crate::standin::{Discovery, PayServer, Record, Registry, Target};
+
+/// What keeps a stage from being set up.
+#[derive(Debug, thiserror::Error)]
+pub enum StageError {
+    /// A fault of the schedule.
+    #[error(transparent)]
+    Fault(#[from] FaultError),
+    /// A socket, a file or a folder.
+    #[error("the stage could not be set up: {0}")]
+    Io(#[from] std::io::Error),
+    /// A proxy that did not start.
+    #[error("proxy{0}: {1}")]
+    Start(usize, StartError),
+    /// A proxy that never said yes on `ready`.
+    #[error("proxy{0} never said it was ready (its last lines: {1})")]
+    NotReady(usize, String),
+}
+
+/// How a stage is laid out.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    /// The `ironmast` program.
+    pub program: PathBuf,
+    /// Zones and their pay servers' count; proxies are in the first zone. Pay servers' uids, also their names in
+    /// links, are `ZONE-N`.
+    pub zones: Vec<(String, usize)>,
+    /// Proxies, 1 or more; named `proxy0` and on in links.
+    pub proxies: usize,
+    /// How long a pay server works on a request.
+    pub work: Duration,
+    /// How long a proxy may take to start and to say yes.
+    pub patience: Duration,
+}
+
+/// A stage. Everything in it is owned here and given back when it is dropped: proxies first (killed and reaped), then
+/// relays, discoveries and pay servers.
+pub struct Stage {
+    /// The proxies, none while one is down.
+    pub proxies: Vec<Option<Proxy>>,
+    /// The faults of the run, and its clock.
+    pub faults: Arc<Faults>,
+    /// Every run on every pay server.
+    pub record: Arc<Record>,
+    /// The relays, by link: for each proxy, one to each pay server (in the order of `servers`), then discovery.
+    pub relays: Vec<Relay>,
+    /// The pay servers.
+    pub servers: Vec<PayServer>,
+    /// The list shared by the discoveries.
+    pub registry: Arc<Registry>,
+    layout: Layout,
+    places: Vec<(SocketAddr, OwnedFd, PathBuf)>,
+    folder: tempfile::TempDir,
+    _discoveries: Vec<Discovery>,
+}
+
+/// A port of the system's choice, held without listening so that only the proxies there may have it.
+fn place() -> std::io::Result<(SocketAddr, OwnedFd)> {
+    let port = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None)?;
+    set_socket_reuseport(&port, true)?;
+    rustix::net::bind(&port, &SocketAddr::from(([127, 0, 0, 1], 0)))?;
+    let at = SocketAddr::try_from(rustix::net::getsockname(&port)?)
+        .map_err(|_| std::io::Error::other("not an internet address"))?;
+    Ok((at, port))
+}
+
+/// The configuration of one proxy of `count`, from the stage's template.
+fn configuration(
+    template: &str,
+    me: usize,
+    count: usize,
+    discovery: SocketAddr,
+    listen: SocketAddr,
+) -> String {
+    template
+        .replace("{discovery}", &discovery.to_string())
+        .replace("127.0.0.1:0", &listen.to_string())
+        .replace("\"name\":\"n1\"", &format!("\"name\":\"n{me}\""))
+        .replace("\"balancers\":1,\"me\":0", &format!("\"balancers\":{count},\"me\":{me}"))
+}
+
+impl Stage {
+    /// Sets up a stage under `schedule` and starts every proxy, each with a configuration from [`crate::CONFIG`].
+    pub fn new(layout: Layout, schedule: Schedule) -> Result<Stage, StageError> {
+        let faults = Faults::new(schedule);
+        let record = Arc::new(Record::default());
+        let mut servers = Vec::new();
+        for (zone, count) in &layout.zones {
+            for n in 0..*count {
+                servers.push((
+                    zone.clone(),
+                    PayServer::start(&format!("{zone}-{n}"), layout.work, Arc::clone(&record))?,
+                ));
+            }
+        }
+        let targets =
+            servers.iter().map(|(az, s)| Target { uid: s.uid.clone(), az: az.clone(), state: "up".into() });
+        let registry = Registry::new(targets.collect());
+        let servers: Vec<PayServer> = servers.into_iter().map(|(_, s)| s).collect();
+        let folder = tempfile::tempdir()?;
+        let (mut relays, mut discoveries, mut places) = (Vec::new(), Vec::new(), Vec::new());
+        for p in 0..layout.proxies {
+            let me = format!("proxy{p}");
+            let mut endpoints = HashMap::new();
+            for server in &servers {
+                let relay = Relay::start(&me, &server.uid, server.address, Arc::clone(&faults))?;
+                endpoints.insert(server.uid.clone(), relay.address);
+                relays.push(relay);
+            }
+            let discovery = Discovery::start(Arc::clone(&registry), endpoints)?;
+            let relay = Relay::start(&me, "discovery", discovery.address, Arc::clone(&faults))?;
+            let (listen, port) = place()?;
+            let config = folder.path().join(format!("{me}.json"));
+            std::fs::write(&config, configuration(crate::CONFIG, p, layout.proxies, relay.address, listen))?;
+            std::fs::create_dir_all(folder.path().join(format!("{me}.state")))?;
+            places.push((listen, port, config));
+            relays.push(relay);
+            discoveries.push(discovery);
+        }
+        let proxies = (0..layout.proxies).map(|_| None).collect();
+        let mut stage = Stage {
+            proxies,
+            faults,
+            record,
+            relays,
+            servers,
+            registry,
+            layout,
+            places,
+            folder,
+            _discoveries: discoveries,
+        };
+        for p in 0..stage.layout.proxies {
+            stage.start(p)?;
+        }
+        Ok(stage)
+    }
+
+    /// Starts proxy `p` (again, on the same clients' address and state directory) and waits for its yes; how long
+    /// the yes took.
+    pub fn start(&mut self, p: usize) -> Result<Duration, StageError> {
+        let (name, state) = (format!("proxy{p}"), self.state(p));
+        let (program, patience) = (&self.layout.program, self.layout.patience);
+        let proxy = Proxy::start(&name, program, &self.places[p].2, &state, patience)
+            .map_err(|e| StageError::Start(p, e))?;
+        let ready = proxy.ready(patience).ok_or_else(|| StageError::NotReady(p, proxy.tail(5)))?;
+        self.proxies[p] = Some(proxy);
+        Ok(ready)
+    }
+
+    /// Proxy `p`'s state directory (its `TMPDIR`): wipe or spoil it to restart from nothing.
+    pub fn state(&self, p: usize) -> PathBuf {
+        self.folder.path().join(format!("proxy{p}.state"))
+    }
+
+    /// Where proxy `p`'s clients connect.
+    pub fn listen(&self, p: usize) -> SocketAddr {
+        self.places[p].0
+    }
+
+    /// Proxy `p`; panics where it is down.
+    pub fn proxy(&self, p: usize) -> &Proxy {
+        self.proxies[p].as_ref().expect("proxy is running")
+    }
+
+    /// The stage's own folder: configurations and state directories.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
+    /// Plays `shape` on every proxy at once, while `meanwhile` runs on this thread; one report per proxy.
+    pub fn load(&mut self, shape: &Shape, meanwhile: impl FnOnce(&mut Stage)) -> Vec<Report> {
+        let loads: Vec<_> = (0..self.places.len())
+            .map(|p| {
+                let (at, shape) = (self.listen(p), shape.clone());
+                std::thread::spawn(move || load::play(at, &format!("{p:x}"), &shape))
+            })
+            .collect();
+        meanwhile(self);
+        loads.into_iter().filter_map(|l| l.join().ok()?.ok()).collect()
+    }
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        self.proxies.clear();
+    }
+}
