ironmast-lab stage and demo: stage scenarios played with real proxies, a table a second

Change: ironmast-lab stage FILE [--proxy PATH] [--json FILE|-] and ironmast-lab demo; stage scenarios under scenarios/stage/ with zones, proxies, a load, [[fault]] and [[signal]] (kill, term, stop, continue, hangup, restart, wipe). The load's clients now give up at their patience, with threads enough that none waits while requests wait (a demo with 8 threads showed 7 s of the tool's own queueing as latency).

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,7 @@
 mod hunt;
 mod pictures;
 mod play;
+mod stage;
 mod statistics;
 mod sweep;
 
@@ -33,6 +34,25 @@
         /// The scenario's file.
         scenario: PathBuf,
     },
+    /// Plays a stage scenario with real proxies on loopback: a table a second, then one verdict. Ends with 1 where
+    /// something ran twice or was served without a run.
+    Stage {
+        /// The stage scenario's file (see scenarios/stage/).
+        scenario: PathBuf,
+        /// The ironmast program; by default the one beside this program.
+        #[arg(long, value_name = "PATH")]
+        proxy: Option<PathBuf>,
+        /// Writes the verdict as JSON there; - for standard output.
+        #[arg(long, value_name = "FILE")]
+        json: Option<PathBuf>,
+    },
+    /// Pay servers in two zones, discovery, three proxies and their load; the proxies' zone is cut off for 10 s and
+    /// comes back. A table a second for 30 s.
+    Demo {
+        /// The ironmast program; by default the one beside this program.
+        #[arg(long, value_name = "PATH")]
+        proxy: Option<PathBuf>,
+    },
     /// Plays one run and prints what the judge found. Ends with 1 where a rule was broken.
     Emulate {
         /// The scenario's file.
@@ -156,6 +176,10 @@
         Command::Sweep { scenario, vary, many } => {
             sweep::run(&load(&scenario)?, &vary, &distinct(many.policies), many.seeds, &many.out)
         }
+        Command::Stage { scenario, proxy, json } => {
+            stage::run(stage::Play { scenario: Some(scenario), proxy, json })
+        }
+        Command::Demo { proxy } => stage::run(stage::Play { scenario: None, proxy, json: None }),
         Command::Hunt { scenario, seeds, minutes, policy, reference, gap, out } => {
             let base = scenario.map(|path| load(&path)).transpose()?.map(|l| l.scenario);
             hunt::run(&hunt::Hunt { base, seeds, minutes, policy, reference, gap, out })
--- a/crates/lab/tests/commands.rs
+++ b/crates/lab/tests/commands.rs
@@ -30,7 +30,7 @@
 fn all_shipped_scenarios_are_sound() {
     let files =
         std::fs::read_dir(Path::new(env!("CARGO_MANIFEST_DIR")).join("../../scenarios")).expect("there");
-    let files: Vec<PathBuf> = files.flatten().map(|f| f.path()).collect();
+    let files: Vec<PathBuf> = files.flatten().map(|f| f.path()).filter(|p| p.is_file()).collect();
     assert!(files.len() >= 10);
     for file in files {
         let out = lab(&["check", &file.to_string_lossy()]);
--- a/crates/proxy/tests/faults.rs
+++ b/crates/proxy/tests/faults.rs
@@ -24,7 +24,7 @@
 }
 
 fn shape(path: &str, rate: f64, seconds: f64) -> Shape {
-    Shape { rate, length: Duration::from_secs_f64(seconds), path: path.into(), patience_ms: 1500, threads: 8 }
+    Shape::new(rate, Duration::from_secs_f64(seconds), path, 1500)
 }
 
 fn judged(stage: &Stage, reports: &[Report]) -> verdict::Verdict {
--- a/crates/stage/src/fault.rs
+++ b/crates/stage/src/fault.rs
@@ -78,6 +78,13 @@
     Missing(usize, &'static str, &'static str),
 }
 
+impl Fault {
+    /// Whether it holds `now` seconds into the run.
+    pub fn holds_at(&self, now: f64) -> bool {
+        self.at_s <= now && self.for_s.is_none_or(|d| now < self.at_s + d)
+    }
+}
+
 /// What a relay must do, as the schedule tells it for one link and direction at one moment.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Action {
@@ -152,9 +159,7 @@
     /// The fault that holds on bytes from `from` to `to` at `elapsed`, if any.
     pub fn fault(&self, from: &str, to: &str, elapsed: Duration) -> Option<&Fault> {
         let now = elapsed.as_secs_f64();
-        self.faults.iter().rev().find(|f| {
-            f.at_s <= now && f.for_s.is_none_or(|d| now < f.at_s + d) && link_matches(&f.link, from, to)
-        })
+        self.faults.iter().rev().find(|f| f.holds_at(now) && link_matches(&f.link, from, to))
     }
 
     /// What to do with a piece from `from` to `to` at `elapsed`; `draw` is a number in [0, 1) for the jitter.
--- a/crates/stage/src/load.rs
+++ b/crates/stage/src/load.rs
@@ -21,6 +21,8 @@
     Failed,
     /// No connection, or it broke before a whole answer.
     Broken,
+    /// No whole answer within the client's patience: the client went away.
+    GaveUp,
 }
 
 /// One request a client sent.
@@ -51,6 +53,15 @@
     pub threads: usize,
 }
 
+impl Shape {
+    /// A load with enough threads that none waits while requests wait their whole patience: the rate times the
+    /// patience, and two more, at most 256.
+    pub fn new(rate: f64, length: Duration, path: &str, patience_ms: u64) -> Shape {
+        let threads = ((rate * patience_ms as f64 / 1e3).ceil() as usize + 2).min(256);
+        Shape { rate, length, path: path.into(), patience_ms, threads }
+    }
+}
+
 /// Every request of a load and their latencies.
 pub struct Report {
     /// The requests by intended send time.
@@ -67,8 +78,8 @@
 }
 
 fn one(address: SocketAddr, path: &str, txn: &str, patience: Duration) -> Outcome {
+    let begun = Instant::now();
     let Ok(mut stream) = TcpStream::connect_timeout(&address, patience) else { return Outcome::Broken };
-    let _ = stream.set_read_timeout(Some(patience + Duration::from_millis(500)));
     let post = path.starts_with("/deposit") || path.starts_with("/timesheet");
     let method = if post { "POST" } else { "GET" };
     let body = if post { "{\"amount\":1}" } else { "" };
@@ -80,9 +91,22 @@
     if stream.write_all(text.as_bytes()).is_err() {
         return Outcome::Broken;
     }
+    // The client waits for the whole answer until its patience is over, and no longer.
     let mut answer = Vec::new();
-    if stream.read_to_end(&mut answer).is_err() {
-        return Outcome::Broken;
+    let mut piece = [0u8; 4096];
+    loop {
+        let Some(left) = patience.checked_sub(begun.elapsed()).filter(|l| !l.is_zero()) else {
+            return Outcome::GaveUp;
+        };
+        let _ = stream.set_read_timeout(Some(left));
+        match stream.read(&mut piece) {
+            Ok(0) => break,
+            Ok(n) => answer.extend_from_slice(&piece[..n]),
+            Err(e) if matches!(e.kind(), std::io::ErrorKind::WouldBlock | std::io::ErrorKind::TimedOut) => {
+                return Outcome::GaveUp;
+            }
+            Err(_) => return Outcome::Broken,
+        }
     }
     let status = answer.get(9..12).and_then(|s| std::str::from_utf8(s).ok()).unwrap_or("");
     let whole = answer.windows(4).any(|w| w == b"\r\n\r\n");
@@ -95,15 +119,27 @@
     }
 }
 
+/// What a load has seen so far, shared with whoever watches it live.
+pub type Tally = Arc<Mutex<Vec<Sent>>>;
+
 /// Plays a load on `address`; `name` prefixes each `X-Txn` (hex digits are added). Refuses an address off loopback.
 pub fn play(address: SocketAddr, name: &str, shape: &Shape) -> std::io::Result<Report> {
+    play_into(address, name, shape, Instant::now(), &Tally::default())
+}
+
+/// The same, with times counted from `start` and each request added to `sent` as it ends.
+pub fn play_into(
+    address: SocketAddr,
+    name: &str,
+    shape: &Shape,
+    start: Instant,
+    sent: &Tally,
+) -> std::io::Result<Report> {
     crate::loopback(address)?;
     let count = (shape.rate * shape.length.as_secs_f64()).ceil() as usize;
-    let start = Instant::now();
-    let sent = Arc::new(Mutex::new(Vec::with_capacity(count)));
     let threads: Vec<_> = (0..shape.threads.max(1))
         .map(|k| {
-            let (shape, sent, name) = (shape.clone(), Arc::clone(&sent), name.to_string());
+            let (shape, sent, name) = (shape.clone(), Arc::clone(sent), name.to_string());
             std::thread::spawn(move || {
                 for n in (k..count).step_by(shape.threads.max(1)) {
                     let at = Duration::from_secs_f64(n as f64 / shape.rate);
@@ -121,7 +157,7 @@
     for thread in threads {
         let _ = thread.join();
     }
-    let mut sent = std::mem::take(&mut *sent.lock().expect("not poisoned"));
+    let mut sent = sent.lock().expect("not poisoned").clone();
     sent.sort_by_key(|s| s.at);
     let mut latency = Histogram::new_with_bounds(1, 60_000_000, 3).expect("valid bounds");
     for s in sent.iter().filter(|s| s.outcome == Outcome::Served) {
--- a/crates/stage/src/relay.rs
+++ b/crates/stage/src/relay.rs
@@ -34,6 +34,11 @@
         Arc::new(Faults { start: Instant::now(), schedule: RwLock::new(schedule) })
     }
 
+    /// When the run began.
+    pub fn start(&self) -> Instant {
+        self.start
+    }
+
     /// Time since the run began.
     pub fn elapsed(&self) -> Duration {
         self.start.elapsed()
@@ -45,6 +50,13 @@
         self.schedule.write().expect("not poisoned").push(fault)
     }
 
+    /// The faults that hold at `elapsed`, whatever their links.
+    pub fn holding(&self, elapsed: Duration) -> Vec<Fault> {
+        let schedule = self.schedule.read().expect("not poisoned");
+        let now = elapsed.as_secs_f64();
+        schedule.faults().iter().filter(|f| f.holds_at(now)).cloned().collect()
+    }
+
     fn action(&self, from: &str, to: &str, draw: f64) -> Action {
         self.schedule.read().expect("not poisoned").action(from, to, self.elapsed(), draw)
     }
--- a/crates/stage/src/stage.rs
+++ b/crates/stage/src/stage.rs
@@ -81,14 +81,12 @@
 }
 
 /// The configuration of one proxy of `count`, from the stage's template.
-fn configuration(
-    template: &str,
-    me: usize,
-    count: usize,
-    discovery: SocketAddr,
-    listen: SocketAddr,
-) -> String {
-    template
+fn configuration(layout: &Layout, me: usize, discovery: SocketAddr, listen: SocketAddr) -> String {
+    let zones: Vec<String> = layout.zones.iter().map(|(z, _)| format!("\"{z}\"")).collect();
+    let (own, count) = (&layout.zones[0].0, layout.proxies);
+    crate::CONFIG
+        .replace("\"zone\":\"seattle\"", &format!("\"zone\":\"{own}\""))
+        .replace("\"zones\":[\"seattle\",\"portland\"]", &format!("\"zones\":[{}]", zones.join(",")))
         .replace("{discovery}", &discovery.to_string())
         .replace("127.0.0.1:0", &listen.to_string())
         .replace("\"name\":\"n1\"", &format!("\"name\":\"n{me}\""))
@@ -96,8 +94,12 @@
 }
 
 impl Stage {
-    /// Sets up a stage under `schedule` and starts every proxy, each with a configuration from [`crate::CONFIG`].
+    /// Sets up a stage under `schedule` and starts every proxy, each with a configuration from [`crate::CONFIG`] in
+    /// which the zones are the layout's.
     pub fn new(layout: Layout, schedule: Schedule) -> Result<Stage, StageError> {
+        if layout.zones.is_empty() || layout.proxies == 0 {
+            return Err(StageError::Io(std::io::Error::other("a stage needs a zone and a proxy")));
+        }
         let faults = Faults::new(schedule);
         let record = Arc::new(Record::default());
         let mut servers = Vec::new();
@@ -127,7 +129,7 @@
             let relay = Relay::start(&me, "discovery", discovery.address, Arc::clone(&faults))?;
             let (listen, port) = place()?;
             let config = folder.path().join(format!("{me}.json"));
-            std::fs::write(&config, configuration(crate::CONFIG, p, layout.proxies, relay.address, listen))?;
+            std::fs::write(&config, configuration(&layout, p, relay.address, listen))?;
             std::fs::create_dir_all(folder.path().join(format!("{me}.state")))?;
             places.push((listen, port, config));
             relays.push(relay);
@@ -179,6 +181,11 @@
         self.proxies[p].as_ref().expect("proxy is running")
     }
 
+    /// The faults that hold on some link at `elapsed`.
+    pub fn faults_now(&self, elapsed: Duration) -> Vec<crate::fault::Fault> {
+        self.faults.holding(elapsed)
+    }
+
     /// The stage's own folder: configurations and state directories.
     pub fn folder(&self) -> &Path {
         self.folder.path()
@@ -186,12 +193,26 @@
 
     /// Plays `shape` on every proxy at once, while `meanwhile` runs on this thread; one report per proxy.
     pub fn load(&mut self, shape: &Shape, meanwhile: impl FnOnce(&mut Stage)) -> Vec<Report> {
+        let tallies: Vec<load::Tally> = (0..self.places.len()).map(|_| load::Tally::default()).collect();
+        self.load_into(shape, &tallies, |stage, _| meanwhile(stage))
+    }
+
+    /// The same, with each proxy's requests added to its tally as they end, for who watches live; `meanwhile` is
+    /// given the tallies too.
+    pub fn load_into(
+        &mut self,
+        shape: &Shape,
+        tallies: &[load::Tally],
+        meanwhile: impl FnOnce(&mut Stage, &[load::Tally]),
+    ) -> Vec<Report> {
+        let start = std::time::Instant::now();
         let loads: Vec<_> = (0..self.places.len())
             .map(|p| {
-                let (at, shape) = (self.listen(p), shape.clone());
-                std::thread::spawn(move || load::play(at, &format!("{p:x}"), &shape))
+                let (at, shape, tally) = (self.listen(p), shape.clone(), Arc::clone(&tallies[p]));
+                std::thread::spawn(move || load::play_into(at, &format!("{p:x}"), &shape, start, &tally))
             })
             .collect();
+        let meanwhile = |stage: &mut Stage| meanwhile(stage, tallies);
         meanwhile(self);
         loads.into_iter().filter_map(|l| l.join().ok()?.ok()).collect()
     }
--- a/crates/stage/src/standin.rs
+++ b/crates/stage/src/standin.rs
@@ -20,14 +20,23 @@
     pub class: String,
     /// The pay server's uid.
     pub server: String,
+    /// When it began, from the record's start.
+    pub at: Duration,
 }
 
 /// Every run on every pay server of a stage, in the order they began.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Record {
+    start: std::time::Instant,
     runs: Mutex<Vec<Run>>,
 }
 
+impl Default for Record {
+    fn default() -> Record {
+        Record { start: std::time::Instant::now(), runs: Mutex::new(Vec::new()) }
+    }
+}
+
 impl Record {
     /// A copy of all runs so far.
     pub fn runs(&self) -> Vec<Run> {
@@ -43,7 +52,8 @@
         counts
     }
 
-    fn push(&self, run: Run) {
+    fn push(&self, txn: &str, class: String, server: &str) {
+        let run = Run { txn: txn.into(), class, server: server.into(), at: self.start.elapsed() };
         self.runs.lock().expect("not poisoned").push(run);
     }
 }
@@ -138,7 +148,7 @@
             match mood.load(Ordering::Relaxed) {
                 1 => ("503 Service Unavailable", "X-Turned-Away: 1\r\n", String::new()),
                 m => {
-                    record.push(Run { txn: txn.into(), class, server: uid.into() });
+                    record.push(txn, class, uid);
                     std::thread::sleep(work);
                     (
                         if m == 2 { "500 Internal Server Error" } else { "200 OK" },
--- a/crates/stage/src/verdict.rs
+++ b/crates/stage/src/verdict.rs
@@ -59,7 +59,7 @@
     }
 
     fn run(txn: &str, class: &str) -> Run {
-        Run { txn: txn.into(), class: class.into(), server: "s-0".into() }
+        Run { txn: txn.into(), class: class.into(), server: "s-0".into(), at: Duration::ZERO }
     }
 
     #[test]
