Membership core: SWIM through foca, no I/O, identities that outlive restarts

Change: crates/membership wraps foca (taken over our own SWIM: kept, sans-I/O, bounded packets) with an identity of address and start-time incarnation, 256-byte datagrams, a timer queue on the driver's clock, and down members asked every 2 s whether they are back. Not wired into the proxy; run is unchanged.

--- /dev/null
+++ b/crates/membership/tests/swim.rs
@@ -0,0 +1,198 @@
+//! A tier of members over a network in simulated time, with loss, pauses, deaths and one-sided cuts.
+
+use std::collections::VecDeque;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use ironmast_membership::{Action, DATAGRAM, Member, Membership, config};
+
+const STEP: Duration = Duration::from_millis(5);
+
+/// Whether a datagram from one member to another at a moment is lost.
+type Loss = dyn Fn(usize, usize, Duration, u64) -> bool;
+
+struct Tier {
+    members: Vec<Membership>,
+    /// Members that neither run nor read until then; what comes meanwhile waits in their socket's buffer.
+    paused: Vec<Duration>,
+    dead: Vec<bool>,
+    queue: VecDeque<(Duration, usize, Vec<u8>)>,
+    now: Duration,
+    downs: Vec<(Duration, usize, Member)>,
+    draws: u64,
+}
+
+fn address(n: usize) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, 7000 + n as u16)
+}
+
+fn index(a: SocketAddrV4) -> usize {
+    usize::from(a.port() - 7000)
+}
+
+impl Tier {
+    fn new(size: usize) -> Tier {
+        let members = (0..size)
+            .map(|n| {
+                Membership::new(
+                    Member { address: address(n), incarnation: 100 },
+                    config(size as u32),
+                    n as u64,
+                )
+            })
+            .collect();
+        let mut tier = Tier {
+            members,
+            paused: vec![Duration::ZERO; size],
+            dead: vec![false; size],
+            queue: VecDeque::new(),
+            now: Duration::ZERO,
+            downs: Vec::new(),
+            draws: 0,
+        };
+        let peers: Vec<SocketAddrV4> = (0..size).map(address).collect();
+        for n in 0..size {
+            let others: Vec<SocketAddrV4> = peers.iter().copied().filter(|&a| a != address(n)).collect();
+            let actions = tier.members[n].join(&others, Duration::ZERO);
+            tier.carry(n, actions, &|_, _, _, _| false);
+        }
+        tier
+    }
+
+    fn carry(&mut self, from: usize, actions: Vec<Action>, loss: &Loss) {
+        for action in actions {
+            match action {
+                Action::Send(to, bytes) => {
+                    assert!(bytes.len() <= DATAGRAM, "a datagram of {} bytes", bytes.len());
+                    self.draws += 1;
+                    if !loss(from, index(to), self.now, self.draws) {
+                        self.queue.push_back((self.now + Duration::from_millis(1), index(to), bytes));
+                    }
+                }
+                Action::Down(m) => self.downs.push((self.now, from, m)),
+                Action::Up(_) => {}
+            }
+        }
+    }
+
+    fn run(&mut self, length: Duration, loss: &Loss) {
+        let end = self.now + length;
+        while self.now < end {
+            self.now += STEP;
+            let mut waiting = VecDeque::new();
+            while let Some((at, to, bytes)) = self.queue.pop_front() {
+                if at > self.now || self.paused[to] > self.now {
+                    waiting.push_back((at, to, bytes));
+                } else if !self.dead[to] {
+                    let actions =
+                        self.members[to].on_datagram(&bytes, self.now).expect("our own datagrams read");
+                    self.carry(to, actions, loss);
+                }
+            }
+            self.queue = waiting;
+            for n in 0..self.members.len() {
+                if !self.dead[n] && self.paused[n] <= self.now {
+                    let actions = self.members[n].tick(self.now);
+                    self.carry(n, actions, loss);
+                }
+            }
+        }
+    }
+
+    fn tiers(&self) -> Vec<usize> {
+        (0..self.members.len()).filter(|&n| !self.dead[n]).map(|n| self.members[n].tier()).collect()
+    }
+}
+
+fn none(_: usize, _: usize, _: Duration, _: u64) -> bool {
+    false
+}
+
+fn secs(s: u64) -> Duration {
+    Duration::from_secs(s)
+}
+
+#[test]
+fn a_quiet_tier_knows_all_its_members_within_two_seconds() {
+    let mut tier = Tier::new(5);
+    tier.run(secs(2), &none);
+    assert_eq!(tier.tiers(), vec![5; 5]);
+}
+
+#[test]
+fn a_dead_member_is_found_out_by_all_and_only_it() {
+    let mut tier = Tier::new(5);
+    tier.run(secs(3), &none);
+    tier.dead[2] = true;
+    let died = tier.now;
+    tier.run(secs(30), &none);
+    assert_eq!(tier.tiers(), vec![4; 4]);
+    assert!(tier.downs.iter().all(|(_, _, m)| m.address == address(2)), "{:?}", tier.downs);
+    let last = tier.downs.iter().map(|(at, _, _)| *at).max().expect("found out");
+    eprintln!("the death was known to all {:?} after it", last - died);
+}
+
+#[test]
+fn a_member_paused_for_5_s_comes_back_and_the_tier_is_whole_again() {
+    let mut tier = Tier::new(5);
+    tier.run(secs(3), &none);
+    tier.paused[1] = tier.now + secs(5);
+    tier.run(secs(5), &none);
+    let during = tier.downs.len();
+    tier.run(secs(20), &none);
+    assert_eq!(tier.tiers(), vec![5; 5], "after the pause");
+    assert!(tier.members[1].me().incarnation >= 100);
+    eprintln!(
+        "during the pause {during} downs; after it the member has incarnation {}",
+        tier.members[1].me().incarnation
+    );
+}
+
+#[test]
+fn a_one_sided_cut_heals_into_a_whole_tier() {
+    let mut tier = Tier::new(5);
+    tier.run(secs(3), &none);
+    let (from, to) = (tier.now, tier.now + secs(10));
+    // Member 0 hears everyone; nobody hears member 0.
+    let cut = move |a: usize, _: usize, at: Duration, _: u64| a == 0 && at >= from && at < to;
+    tier.run(secs(10), &cut);
+    let by_zero = tier.downs.iter().filter(|(_, by, _)| *by == 0).count();
+    let of_zero = tier.downs.iter().filter(|(_, _, m)| m.address == address(0)).count();
+    tier.run(secs(20), &none);
+    assert_eq!(tier.tiers(), vec![5; 5], "after the cut");
+    eprintln!("in the cut: member 0 declared {by_zero} others down, and {of_zero} declared it down");
+}
+
+#[test]
+fn a_tenth_of_datagrams_lost_declares_no_living_member_down() {
+    let mut tier = Tier::new(8);
+    tier.run(secs(3), &none);
+    let lossy = |a: usize, b: usize, at: Duration, draw: u64| {
+        let h = (draw ^ (a as u64) << 40 ^ (b as u64) << 48 ^ at.as_millis() as u64)
+            .wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        (h >> 32) % 10 == 0
+    };
+    tier.run(secs(60), &lossy);
+    tier.run(secs(20), &none);
+    assert_eq!(tier.tiers(), vec![8; 8]);
+    // A member that refuted a suspicion lives on under its next incarnation; the old one going down is no loss.
+    let living = |m: &Member| tier.members[index(m.address)].me().incarnation == m.incarnation;
+    let false_downs = tier.downs.iter().filter(|(_, _, m)| living(m)).count();
+    let renewed = tier.members.iter().filter(|m| m.me().incarnation > 100).count();
+    eprintln!(
+        "8 members, 60 s at 10 % loss: {false_downs} living members declared down, {renewed} refuted a suspicion"
+    );
+    assert_eq!(false_downs, 0, "{:?}", tier.downs);
+}
+
+#[test]
+fn garbage_is_refused_and_changes_nothing() {
+    let mut tier = Tier::new(3);
+    tier.run(secs(2), &none);
+    let now = tier.now;
+    for junk in [&b""[..], b"\xff\xff\xff\xff", &[7u8; 300][..]] {
+        assert!(tier.members[0].on_datagram(junk, now).is_err());
+    }
+    tier.run(secs(2), &none);
+    assert_eq!(tier.tiers(), vec![3; 3]);
+}
