--- a/crates/membership/tests/swim.rs
+++ b/crates/membership/tests/swim.rs
@@ -170,7 +170,7 @@
     let lossy = |a: usize, b: usize, at: Duration, draw: u64| {
         let h = (draw ^ (a as u64) << 40 ^ (b as u64) << 48 ^ at.as_millis() as u64)
             .wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        (h >> 32) % 10 == 0
+        (h >> 32).is_multiple_of(10)
     };
     tier.run(secs(60), &lossy);
     tier.run(secs(20), &none);
