ironmast-lab membership: the protocol at 5 to 500 members and 0 to 30 % loss

Change: the simulated tier moves from the tests into ironmast_membership::tier (the tests and the lab share it) and counts refused datagrams instead of ending on one (foca refused news of a member's old self at 500 members and 30 % loss); ironmast-lab membership plays quiet, loss, then a death.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,6 +4,7 @@
 mod compare;
 mod files;
 mod hunt;
+mod membership;
 mod pictures;
 mod play;
 mod stage;
@@ -53,6 +54,25 @@
         #[arg(long, value_name = "PATH")]
         proxy: Option<PathBuf>,
     },
+    /// Plays the proxies' membership protocol in simulated time: false downs under loss, bytes a second, the time a
+    /// death takes to be known to all. Ends with 1 where it was not known within 60 s.
+    Membership {
+        /// Members of the tier, 2 to 5,000.
+        #[arg(long, default_value_t = 16)]
+        members: usize,
+        /// The share of datagrams lost, 0 to 0.9.
+        #[arg(long, default_value_t = 0.0)]
+        loss: f64,
+        /// Seconds under loss before the death, 1 to 3,600.
+        #[arg(long, default_value_t = 60.0)]
+        seconds: f64,
+        /// The seed of the losses.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// One line of JSON in place of the line for people.
+        #[arg(long)]
+        json: bool,
+    },
     /// Plays one run and prints what the judge found. Ends with 1 where a rule was broken.
     Emulate {
         /// The scenario's file.
@@ -179,6 +199,9 @@
         Command::Stage { scenario, proxy, json } => {
             stage::run(stage::Play { scenario: Some(scenario), proxy, json })
         }
+        Command::Membership { members, loss, seconds, seed, json } => {
+            membership::run(&membership::Trial { members, loss, seconds, seed, json })
+        }
         Command::Demo { proxy } => stage::run(stage::Play { scenario: None, proxy, json: None }),
         Command::Hunt { scenario, seeds, minutes, policy, reference, gap, out } => {
             let base = scenario.map(|path| load(&path)).transpose()?.map(|l| l.scenario);
--- a/crates/membership/src/lib.rs
+++ b/crates/membership/src/lib.rs
@@ -11,6 +11,8 @@
 
 #![forbid(unsafe_code)]
 
+pub mod tier;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::SocketAddrV4;
--- a/crates/membership/tests/swim.rs
+++ b/crates/membership/tests/swim.rs
@@ -1,116 +1,10 @@
 //! A tier of members over a network in simulated time, with loss, pauses, deaths and one-sided cuts.
 
-use std::collections::VecDeque;
-use std::net::{Ipv4Addr, SocketAddrV4};
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use ironmast_membership::{Action, DATAGRAM, Member, Membership, config};
-
-const STEP: Duration = Duration::from_millis(5);
-
-/// Whether a datagram from one member to another at a moment is lost.
-type Loss = dyn Fn(usize, usize, Duration, u64) -> bool;
-
-struct Tier {
-    members: Vec<Membership>,
-    /// Members that neither run nor read until then; what comes meanwhile waits in their socket's buffer.
-    paused: Vec<Duration>,
-    dead: Vec<bool>,
-    queue: VecDeque<(Duration, usize, Vec<u8>)>,
-    now: Duration,
-    downs: Vec<(Duration, usize, Member)>,
-    draws: u64,
-    /// Bytes each member sent.
-    sent: Vec<usize>,
-}
-
-fn address(n: usize) -> SocketAddrV4 {
-    SocketAddrV4::new(Ipv4Addr::LOCALHOST, 7000 + n as u16)
-}
-
-fn index(a: SocketAddrV4) -> usize {
-    usize::from(a.port() - 7000)
-}
-
-impl Tier {
-    fn new(size: usize) -> Tier {
-        let members = (0..size)
-            .map(|n| {
-                Membership::new(
-                    Member { address: address(n), incarnation: 100 },
-                    config(size as u32),
-                    n as u64,
-                )
-            })
-            .collect();
-        let mut tier = Tier {
-            members,
-            paused: vec![Duration::ZERO; size],
-            dead: vec![false; size],
-            queue: VecDeque::new(),
-            now: Duration::ZERO,
-            downs: Vec::new(),
-            draws: 0,
-            sent: vec![0; size],
-        };
-        let peers: Vec<SocketAddrV4> = (0..size).map(address).collect();
-        for n in 0..size {
-            let others: Vec<SocketAddrV4> = peers.iter().copied().filter(|&a| a != address(n)).collect();
-            let actions = tier.members[n].join(&others, Duration::ZERO);
-            tier.carry(n, actions, &|_, _, _, _| false);
-        }
-        tier
-    }
-
-    fn carry(&mut self, from: usize, actions: Vec<Action>, loss: &Loss) {
-        for action in actions {
-            match action {
-                Action::Send(to, bytes) => {
-                    assert!(bytes.len() <= DATAGRAM, "a datagram of {} bytes", bytes.len());
-                    self.draws += 1;
-                    self.sent[from] += bytes.len();
-                    if !loss(from, index(to), self.now, self.draws) {
-                        self.queue.push_back((self.now + Duration::from_millis(1), index(to), bytes));
-                    }
-                }
-                Action::Down(m) => self.downs.push((self.now, from, m)),
-                Action::Up(_) => {}
-            }
-        }
-    }
-
-    fn run(&mut self, length: Duration, loss: &Loss) {
-        let end = self.now + length;
-        while self.now < end {
-            self.now += STEP;
-            let mut waiting = VecDeque::new();
-            while let Some((at, to, bytes)) = self.queue.pop_front() {
-                if at > self.now || self.paused[to] > self.now {
-                    waiting.push_back((at, to, bytes));
-                } else if !self.dead[to] {
-                    let actions =
-                        self.members[to].on_datagram(&bytes, self.now).expect("our own datagrams read");
-                    self.carry(to, actions, loss);
-                }
-            }
-            self.queue = waiting;
-            for n in 0..self.members.len() {
-                if !self.dead[n] && self.paused[n] <= self.now {
-                    let actions = self.members[n].tick(self.now);
-                    self.carry(n, actions, loss);
-                }
-            }
-        }
-    }
-
-    fn tiers(&self) -> Vec<usize> {
-        (0..self.members.len()).filter(|&n| !self.dead[n]).map(|n| self.members[n].tier()).collect()
-    }
-}
-
-fn none(_: usize, _: usize, _: Duration, _: u64) -> bool {
-    false
-}
+use ironmast_membership::tier::{Tier, address, index, none};
+use ironmast_membership::{DATAGRAM, Member, Membership, config};
 
 fn secs(s: u64) -> Duration {
     Duration::from_secs(s)
@@ -121,6 +15,7 @@
     let mut tier = Tier::new(5);
     tier.run(secs(2), &none);
     assert_eq!(tier.tiers(), vec![5; 5]);
+    assert_eq!(tier.refused, 0, "a member refused another's datagram");
 }
 
 #[test]
