The proxy's replacement tests hold their port through the stage's place()

Cause: the tests' own stage held a port with SO_REUSEPORT in the same lines as crates/stage.

Change: ironmast_stage::stage::place is public and documented; the replacement tests call it.

--- a/crates/proxy/tests/stage/mod.rs
+++ b/crates/proxy/tests/stage/mod.rs
@@ -8,9 +8,6 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use rustix::net::sockopt::set_socket_reuseport;
-use rustix::net::{AddressFamily, SocketType};
-
 use crate::common::{PATIENCE, Running, wait_log};
 
 /// Where it all is.
@@ -83,11 +80,7 @@
             }
         });
         // A port of the system's choice, held without listening so that nobody but the proxies may have it.
-        let port = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None).expect("a socket");
-        rustix::net::bind(&port, &SocketAddr::from(([127, 0, 0, 1], 0))).expect("a port");
-        set_socket_reuseport(&port, true).expect("set");
-        let listen =
-            SocketAddr::try_from(rustix::net::getsockname(&port).expect("bound")).expect("an address");
+        let (listen, port) = ironmast_stage::stage::place().expect("a port");
         Stage {
             folder: tempfile::tempdir().expect("a folder"),
             listen,
--- a/crates/stage/src/stage.rs
+++ b/crates/stage/src/stage.rs
@@ -70,8 +70,9 @@
     _discoveries: Vec<Discovery>,
 }
 
-/// A port of the system's choice, held without listening so that only the proxies there may have it.
-fn place() -> std::io::Result<(SocketAddr, OwnedFd)> {
+/// A port of the system's choice on 127.0.0.1, held without listening (SO_REUSEPORT) so that only the proxies that
+/// listen there may have it; the port is given back when the descriptor is dropped.
+pub fn place() -> std::io::Result<(SocketAddr, OwnedFd)> {
     let port = rustix::net::socket(AddressFamily::INET, SocketType::STREAM, None)?;
     set_socket_reuseport(&port, true)?;
     rustix::net::bind(&port, &SocketAddr::from(([127, 0, 0, 1], 0)))?;
