--- a/crates/proxy/tests/faults.rs
+++ b/crates/proxy/tests/faults.rs
@@ -76,6 +76,7 @@
         delay_ms: 0.0,
         jitter_ms: 0.0,
         bytes_per_s: 0.0,
+        share: 0.0,
     };
     let mut stage = stage(2, 2, vec![cut]);
     let reports = stage.load(&shape("/deposit-order", 50.0, 5.0), |_| {});
@@ -120,6 +121,7 @@
         delay_ms: 0.0,
         jitter_ms: 0.0,
         bytes_per_s: 0.0,
+        share: 0.0,
     }
 }
 
--- a/crates/stage/src/fault.rs
+++ b/crates/stage/src/fault.rs
@@ -38,6 +38,12 @@
     Refuse,
     /// At most `bytes_per_s` pass a second.
     Rate,
+    /// Datagrams only: each is lost with the chance `share`.
+    Drop,
+    /// Datagrams only: each is sent twice with the chance `share`.
+    Duplicate,
+    /// Datagrams only: each is held back behind the next one with the chance `share`.
+    Reorder,
 }
 
 /// One fault of a schedule, as written in a scenario's `[[fault]]` table.
@@ -62,6 +68,9 @@
     /// For `rate`: bytes a second, more than 0.
     #[serde(default)]
     pub bytes_per_s: f64,
+    /// For `drop`, `duplicate` and `reorder`: the chance for each datagram, above 0 and at most 1.
+    #[serde(default)]
+    pub share: f64,
 }
 
 /// A fault that a schedule cannot hold, named with its place in the schedule (counted from 0).
@@ -102,6 +111,21 @@
     Rate(f64),
 }
 
+/// What a datagram relay must do with one datagram.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Datagram {
+    /// Send it on.
+    Pass,
+    /// Lose it.
+    Lose,
+    /// Send it twice.
+    Twice,
+    /// Hold it until the next one has gone.
+    Behind,
+    /// Send it after so long.
+    Wait(Duration),
+}
+
 /// Faults over a run. Where several hold on one link at once, the one that began last counts.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Schedule {
@@ -138,6 +162,10 @@
             if fault.kind == Kind::Delay && fault.delay_ms + fault.jitter_ms <= 0.0 {
                 return Err(FaultError::Missing(n, "delay", "delay_ms"));
             }
+            let chance = matches!(fault.kind, Kind::Drop | Kind::Duplicate | Kind::Reorder);
+            if chance && !(fault.share > 0.0 && fault.share <= 1.0) {
+                return Err(FaultError::Missing(n, "datagram", "share (at most 1)"));
+            }
         }
         faults.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
         Ok(Schedule { faults })
@@ -176,9 +204,26 @@
                 Kind::Reset => Action::Reset,
                 Kind::Refuse => Action::Refuse,
                 Kind::Rate => Action::Rate(f.bytes_per_s),
+                Kind::Drop | Kind::Duplicate | Kind::Reorder => Action::Pass,
             },
         }
     }
+
+    /// What to do with a datagram from `from` to `to` at `elapsed`; `draw` and `chance` are numbers in [0, 1), one
+    /// for the jitter and one for the chance. A cut loses datagrams (nothing sends them again); a reset, a refusal and
+    /// a rate mean nothing to them.
+    pub fn datagram(&self, from: &str, to: &str, elapsed: Duration, draw: f64, chance: f64) -> Datagram {
+        let reverse = self.fault(to, from, elapsed).filter(|f| f.kind == Kind::Cut);
+        let Some(f) = reverse.or_else(|| self.fault(from, to, elapsed)) else { return Datagram::Pass };
+        match f.kind {
+            Kind::Cut | Kind::CutOneWay => Datagram::Lose,
+            Kind::Drop if chance < f.share => Datagram::Lose,
+            Kind::Duplicate if chance < f.share => Datagram::Twice,
+            Kind::Reorder if chance < f.share => Datagram::Behind,
+            Kind::Delay => Datagram::Wait(Duration::from_secs_f64((f.delay_ms + draw * f.jitter_ms) / 1e3)),
+            _ => Datagram::Pass,
+        }
+    }
 }
 
 #[cfg(test)]
@@ -186,7 +231,16 @@
     use super::*;
 
     fn fault(at_s: f64, link: &str, kind: Kind, for_s: Option<f64>) -> Fault {
-        Fault { at_s, link: link.into(), kind, for_s, delay_ms: 5.0, jitter_ms: 0.0, bytes_per_s: 10.0 }
+        Fault {
+            at_s,
+            link: link.into(),
+            kind,
+            for_s,
+            delay_ms: 5.0,
+            jitter_ms: 0.0,
+            bytes_per_s: 10.0,
+            share: 0.5,
+        }
     }
 
     #[test]
@@ -218,6 +272,24 @@
         assert_eq!(s.action("server2", "proxy1", at(2.5), 0.0), Action::Wait(Duration::from_millis(5)));
     }
 
+    #[test]
+    fn datagrams_are_lost_doubled_or_held_by_their_chance_and_lost_in_a_cut() {
+        let s = Schedule::new(vec![
+            fault(0.0, "proxy0->proxy1", Kind::Drop, Some(1.0)),
+            fault(1.0, "proxy0->proxy1", Kind::Duplicate, Some(1.0)),
+            fault(2.0, "proxy0->proxy1", Kind::Reorder, Some(1.0)),
+            fault(3.0, "proxy1->proxy0", Kind::CutOneWay, Some(1.0)),
+        ])
+        .expect("valid");
+        let at = Duration::from_secs_f64;
+        let d = |t: f64, chance: f64| s.datagram("proxy0", "proxy1", at(t), 0.0, chance);
+        assert_eq!((d(0.5, 0.4), d(0.5, 0.6)), (Datagram::Lose, Datagram::Pass));
+        assert_eq!((d(1.5, 0.4), d(1.5, 0.6)), (Datagram::Twice, Datagram::Pass));
+        assert_eq!((d(2.5, 0.4), d(2.5, 0.6)), (Datagram::Behind, Datagram::Pass));
+        assert_eq!(d(3.5, 0.0), Datagram::Pass, "one way: proxy0 is still heard");
+        assert_eq!(s.datagram("proxy1", "proxy0", at(3.5), 0.0, 0.9), Datagram::Lose);
+    }
+
     #[test]
     fn bad_faults_are_told_with_their_place() {
         let bad = |f: Fault| Schedule::new(vec![fault(0.0, "a->b", Kind::Pass, None), f]).expect_err("bad");
@@ -228,6 +300,9 @@
         let mut rate = fault(0.0, "a->b", Kind::Rate, None);
         rate.bytes_per_s = 0.0;
         assert_eq!(bad(rate), FaultError::Missing(1, "rate", "bytes_per_s"));
+        let mut drop = fault(0.0, "a->b", Kind::Drop, None);
+        drop.share = 1.5;
+        assert_eq!(bad(drop), FaultError::Missing(1, "datagram", "share (at most 1)"));
     }
 
     #[test]
--- a/crates/stage/src/relay.rs
+++ b/crates/stage/src/relay.rs
@@ -57,6 +57,11 @@
         schedule.faults().iter().filter(|f| f.holds_at(now)).cloned().collect()
     }
 
+    /// What to do with a datagram from `from` to `to` now; see [`Schedule::datagram`].
+    pub fn datagram(&self, from: &str, to: &str, draw: f64, chance: f64) -> crate::fault::Datagram {
+        self.schedule.read().expect("not poisoned").datagram(from, to, self.elapsed(), draw, chance)
+    }
+
     fn action(&self, from: &str, to: &str, draw: f64) -> Action {
         self.schedule.read().expect("not poisoned").action(from, to, self.elapsed(), draw)
     }
