Membership in the proxy on the peers' socket, off in run by deploy/membership.toml

Change: the peers' task drives ironmast-membership where deploy/membership.toml (operators' file, off as shipped) turns it on: datagrams tagged M1 go to it, the module's keep their path; members up and down are logged.

--- a/crates/proxy/src/main.rs
+++ b/crates/proxy/src/main.rs
@@ -13,6 +13,7 @@
 mod handover;
 mod listener;
 mod logging;
+mod members;
 mod message;
 mod ops;
 mod peers;
--- a/crates/proxy/src/peers.rs
+++ b/crates/proxy/src/peers.rs
@@ -2,8 +2,10 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Instant;
 
-use slog::{Logger, debug, warn};
+use ironmast_membership::{Action, Membership, TAG};
+use slog::{Logger, debug, info, warn};
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 
@@ -26,12 +28,16 @@
     pub queue: Queue,
     /// Whether this process serves: of two that replace one another only one speaks and hears.
     pub serving: watch::Receiver<bool>,
+    /// Who of the tier is alive, where the operators' file turns it on; its datagrams begin with its tag.
+    pub membership: Option<Membership>,
 }
 
 impl Peers {
     /// Sends what is to be told and passes on what arrives.
     pub async fn run(mut self, mut tells: mpsc::UnboundedReceiver<Tell>) {
         let mut buffer = [0; MOST + 1];
+        let start = Instant::now();
+        let mut joined = false;
         loop {
             let Some(socket) = self.socket.clone() else {
                 while tells.recv().await.is_some() {
@@ -40,7 +46,28 @@
                 return;
             };
             let serves = *self.serving.borrow_and_update();
+            if serves
+                && !joined
+                && let Some(membership) = self.membership.as_mut()
+            {
+                let actions = membership.join(&crate::members::v4(&self.peers), start.elapsed());
+                self.carry(&socket, actions).await;
+                joined = true;
+            }
+            let due = self.membership.as_ref().and_then(Membership::next_due).map(|d| start + d);
+            let timer = async move {
+                match due {
+                    Some(due) => tokio::time::sleep_until(due.into()).await,
+                    None => std::future::pending().await,
+                }
+            };
             tokio::select! {
+                () = timer, if serves => {
+                    if let Some(membership) = self.membership.as_mut() {
+                        let actions = membership.tick(start.elapsed());
+                        self.carry(&socket, actions).await;
+                    }
+                }
                 Ok(()) = self.serving.changed() => {}
                 tell = tells.recv() => match tell {
                     Some(tell) if serves => self.tell(&socket, tell).await,
@@ -50,6 +77,14 @@
                 received = socket.recv_from(&mut buffer), if serves => {
                     // An error speaks of an earlier datagram that found nobody.
                     let Ok((bytes, from)) = received else { continue };
+                    let known = self.peers.contains(&from);
+                    if let (true, Some(membership)) = (known && buffer.starts_with(&TAG), self.membership.as_mut()) {
+                        match membership.on_datagram(&buffer[..bytes], start.elapsed()) {
+                            Ok(actions) => self.carry(&socket, actions).await,
+                            Err(why) => debug!(self.log, "a member's datagram is refused"; "why" => why.0),
+                        }
+                        continue;
+                    }
                     match self.peers.iter().position(|&p| p == from) {
                         Some(number) if bytes <= MOST => {
                             self.queue.say(Message::Peer(number as u32, buffer[..bytes].to_vec()));
@@ -61,6 +96,26 @@
         }
     }
 
+    /// Sends what membership asks for and logs who came and went.
+    async fn carry(&self, socket: &UdpSocket, actions: Vec<Action>) {
+        let tier = self.membership.as_ref().map_or(0, Membership::tier);
+        for action in actions {
+            match action {
+                Action::Send(to, bytes) => {
+                    if let Err(error) = socket.send_to(&bytes, to).await {
+                        debug!(self.log, "a member's datagram is lost"; "why" => %error);
+                    }
+                }
+                Action::Up(m) => {
+                    info!(self.log, "a member of the tier is up"; "member" => %m.address, "incarnation" => m.incarnation, "tier" => tier);
+                }
+                Action::Down(m) => {
+                    info!(self.log, "a member of the tier is down"; "member" => %m.address, "incarnation" => m.incarnation, "tier" => tier);
+                }
+            }
+        }
+    }
+
     async fn tell(&self, socket: &UdpSocket, (to, data): Tell) {
         let address = match to {
             Some(peer) => self.peers.get(peer as usize).copied(),
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -93,7 +93,11 @@
     let (peers, all, socket) = (config.peers.clone(), config.peers_all, sockets.datagrams.map(Rc::new));
     let passed_socket = socket.clone();
     let (log_of_peers, to_queue, speaks) = (log.clone(), queue.clone(), serving.clone());
-    let peers = Peers { socket, peers, all, log: log_of_peers, queue: to_queue, serving: speaks };
+    let membership = match crate::members::enabled(std::path::Path::new(crate::members::FILE))? {
+        true => Some(crate::members::start(config.peer_listen, &peers, config.seed)?),
+        false => None,
+    };
+    let peers = Peers { socket, peers, all, log: log_of_peers, queue: to_queue, serving: speaks, membership };
     actix_rt::spawn(peers.run(tells));
 
     let ready = Rc::new(Cell::new(false));
--- a/crates/stage/src/process.rs
+++ b/crates/stage/src/process.rs
@@ -47,7 +47,8 @@
 
 impl Proxy {
     /// Runs `program run` with this configuration file, `GW_OPS` on a port of the system's choice and `TMPDIR` at
-    /// `state` (its state directory, where a successor finds it), and waits (at most `patience`) until it tells where
+    /// `state` (its state directory, where a successor finds it, and its working directory, where it reads
+    /// `deploy/membership.toml`), and waits (at most `patience`) until it tells where
     /// operators call.
     pub fn start(
         name: &str,
@@ -57,7 +58,12 @@
         patience: Duration,
     ) -> Result<Proxy, StartError> {
         let mut command = Command::new(program);
-        command.arg("run").env("GW_CONFIG", config).env("GW_OPS", "127.0.0.1:0").env("TMPDIR", state);
+        command
+            .arg("run")
+            .env("GW_CONFIG", config)
+            .env("GW_OPS", "127.0.0.1:0")
+            .env("TMPDIR", state)
+            .current_dir(state);
         command.stderr(Stdio::piped()).stdout(Stdio::null()).stdin(Stdio::null());
         for variable in ["GW_NAME", "GW_LISTEN", "GW_DISCOVERY"] {
             command.env_remove(variable);
@@ -96,6 +102,11 @@
         self.child.id()
     }
 
+    /// Every line of its log so far.
+    pub fn lines(&self) -> Vec<String> {
+        self.log.lock().expect("not poisoned").clone()
+    }
+
     /// The last `n` lines of its log, joined by ` | `.
     pub fn tail(&self, n: usize) -> String {
         let log = self.log.lock().expect("not poisoned");
