Replacement: the successor decides each X-Txn the old process opens

Cause: while old and new processes of a replacement both served (the old one on connections it kept), each checked names only against what it had heard; the new one told the old nothing, so a name open at the new one ran again at the old one.

Change: before opening a name the old process claims it from a successor that answers claims (link messages claim/claimed; the greeting says `claims`, the version stays 1 so older builds still hand over both ways). One guard (Named) gives a name back in both processes.

--- a/crates/operations/src/link.rs
+++ b/crates/operations/src/link.rs
@@ -20,6 +20,10 @@
     Hello {
         /// Its version of the protocol.
         version: u32,
+        /// Whether it answers [`Message::Claim`]. A process built before claims leaves the word out and is never
+        /// asked; the version stays, so that old and new still hand over.
+        #[serde(default)]
+        claims: bool,
     },
     /// From the old one: the answer. With its first byte come the listening socket and, where there is one, the
     /// socket of the datagrams.
@@ -41,6 +45,17 @@
     Opened(String),
     /// From the old one: it is not open any more.
     Closed(String),
+    /// From the old one, to a successor that answers claims: may a request of that name be opened here? The
+    /// successor decides for both, so that no name is open in both processes even where both take it at once.
+    Claim(String),
+    /// From the new one: the answer to a claim. Granted, the name counts as open at the old one until it says
+    /// [`Message::Closed`] or is lost.
+    Claimed {
+        /// The name claimed, as in the claim.
+        txn: String,
+        /// Whether the old one may open it.
+        granted: bool,
+    },
 }
 
 /// Writes a message as a line.
@@ -72,13 +87,16 @@
         bans.back.insert("s2".into(), (3, 5));
         let known = Some(serde_json::json!({"rev": 1, "all": true, "targets": []}));
         for message in [
-            Message::Hello { version: VERSION },
+            Message::Hello { version: VERSION, claims: true },
+            Message::Hello { version: VERSION, claims: false },
             Message::Welcome { version: VERSION, bans, known },
             Message::Busy("why\nnot".into()),
             Message::Serving,
             Message::Admin(Change { uid: "s\u{e9}\n".into(), out: None, back: Some((1, 2)) }),
             Message::Opened("00ff".into()),
             Message::Closed("00ff".into()),
+            Message::Claim("00ff".into()),
+            Message::Claimed { txn: "00ff".into(), granted: true },
         ] {
             let line = encode(&message);
             assert_eq!(line.matches('\n').count(), 1, "{line}");
@@ -86,6 +104,12 @@
         }
     }
 
+    #[test]
+    fn a_greeting_of_a_process_built_before_claims_is_read_as_one_without() {
+        let old = br#"{"hello":{"version":1}}"#;
+        assert_eq!(decode(old), Ok(Message::Hello { version: 1, claims: false }));
+    }
+
     #[test]
     fn what_is_no_message_is_told_in_one_line() {
         for line in
--- a/crates/proxy/src/handover.rs
+++ b/crates/proxy/src/handover.rs
@@ -5,6 +5,7 @@
 //! A platform without `$TMPDIR` or without Unix sockets costs one line of the log, and each process goes alone.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::io::{self, IoSlice, IoSliceMut, Read as _, Write as _};
 use std::mem::MaybeUninit;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
@@ -23,7 +24,7 @@
 use slog::{Logger, info, warn};
 use tokio::io::{AsyncBufReadExt as _, AsyncReadExt as _, AsyncWriteExt as _, BufReader, Interest};
 use tokio::net::{UnixListener, UnixStream};
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
 /// The other process has this long for each step of the greeting.
@@ -127,7 +128,9 @@
     let plain = |e: io::Error| e.to_string();
     stream.set_read_timeout(Some(PATIENCE)).map_err(plain)?;
     stream.set_write_timeout(Some(PATIENCE)).map_err(plain)?;
-    stream.write_all(link::encode(&Message::Hello { version: VERSION }).as_bytes()).map_err(plain)?;
+    stream
+        .write_all(link::encode(&Message::Hello { version: VERSION, claims: true }).as_bytes())
+        .map_err(plain)?;
     let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(PASSED_MOST))];
     let mut passed = RecvAncillaryBuffer::new(&mut space);
     let mut part = vec![0; 64 * 1024];
@@ -179,8 +182,8 @@
 
 /// What comes over the Unix socket.
 pub enum Heard {
-    /// A new process said hello and waits for its welcome.
-    Came(UnixStream),
+    /// A new process said hello and waits for its welcome; whether it answers claims.
+    Came(UnixStream, bool),
     /// A partner said something.
     Said(Side, Message),
     /// A partner is gone, or spoke nonsense.
@@ -193,6 +196,10 @@
     predecessor: RefCell<Option<mpsc::UnboundedSender<Message>>>,
     successor: RefCell<Option<mpsc::UnboundedSender<Message>>>,
     may_serve: Cell<bool>,
+    /// Whether the successor answers claims.
+    claims: Cell<bool>,
+    /// Claims sent and not answered, by name.
+    asked: RefCell<HashMap<String, oneshot::Sender<bool>>>,
 }
 
 impl Partners {
@@ -226,9 +233,35 @@
         }
     }
 
-    /// Forgets a partner that is gone.
+    /// Asks the successor whether a request of the name `txn` may be opened here; none where there is no
+    /// successor or it does not answer claims, and this process decides alone. The answer is false where it
+    /// does not come within `PATIENCE`: a name is rather refused than perhaps run twice.
+    pub fn claim(&self, txn: &str) -> Option<impl Future<Output = bool> + use<>> {
+        if !self.claims.get() || self.successor.borrow().is_none() {
+            return None;
+        }
+        let (granted, answer) = oneshot::channel();
+        self.asked.borrow_mut().insert(txn.to_string(), granted);
+        self.tell_successor(Message::Claim(txn.to_string()));
+        Some(async move { timeout(PATIENCE, answer).await.ok().and_then(Result::ok).unwrap_or(false) })
+    }
+
+    /// The successor's answer to a claim.
+    pub fn claimed(&self, txn: &str, granted: bool) {
+        if let Some(waiting) = self.asked.borrow_mut().remove(txn) {
+            let _ = waiting.send(granted);
+        }
+    }
+
+    /// Forgets a partner that is gone. Claims it has not answered are granted: nothing runs there any more.
     pub fn lost(&self, side: Side) {
         *self.slot(side).borrow_mut() = None;
+        if side == Side::Successor {
+            self.claims.set(false);
+            self.asked.take().into_values().for_each(|waiting| {
+                let _ = waiting.send(true);
+            });
+        }
     }
 
     fn slot(&self, side: Side) -> &RefCell<Option<mpsc::UnboundedSender<Message>>> {
@@ -261,6 +294,7 @@
         mut stream: UnixStream,
         (bans, known): (Bans, Option<Value>),
         sockets: &[BorrowedFd<'_>],
+        claims: bool,
         heard: &mpsc::UnboundedSender<Heard>,
     ) -> io::Result<()> {
         let line = link::encode(&Message::Welcome { version: VERSION, bans, known });
@@ -274,6 +308,7 @@
         let sent = stream.async_io(Interest::WRITABLE, send).await?;
         stream.write_all(&line.as_bytes()[sent..]).await?;
         self.open(Side::Successor, stream, Vec::new(), heard.clone());
+        self.claims.set(claims);
         Ok(())
     }
 
@@ -325,12 +360,12 @@
             _ => Err("no greeting came".to_string()),
         };
         match hello {
-            Ok(Message::Hello { version: VERSION }) => {
-                if heard.send(Heard::Came(stream)).is_err() {
+            Ok(Message::Hello { version: VERSION, claims }) => {
+                if heard.send(Heard::Came(stream, claims)).is_err() {
                     return;
                 }
             }
-            Ok(Message::Hello { version }) => {
+            Ok(Message::Hello { version, .. }) => {
                 warn!(log, "a successor speaks another version"; "version" => version);
                 busy(stream, format!("it speaks version {VERSION}")).await;
             }
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -66,7 +66,7 @@
     closing: Cell<bool>,
     doors: RefCell<BTreeMap<u64, Rc<Door>>>,
     /// The requests that wait for an answer, by the client's name for them.
-    open: RefCell<BTreeSet<Vec<u8>>>,
+    open: RefCell<BTreeSet<String>>,
     /// Those that wait at the process before this, as it tells.
     elsewhere: RefCell<BTreeSet<String>>,
     empty: Notify,
@@ -156,7 +156,14 @@
         self.open
             .borrow()
             .iter()
-            .for_each(|txn| self.partners.tell_successor(link::Message::Opened(hex(txn))));
+            .for_each(|txn| self.partners.tell_successor(link::Message::Opened(txn.clone())));
+    }
+
+    /// Answers the predecessor's claim of a name: granted where it is open in neither process, and then counted
+    /// as open there.
+    pub fn grant(&self, txn: &str) -> bool {
+        let free = !self.open.borrow().contains(txn);
+        free && self.elsewhere.borrow_mut().insert(txn.to_string())
     }
 
     /// Notes that a request is open at the process before this, or not any more.
@@ -429,18 +436,24 @@
         let asked = Asked::new(door);
         let Checked { ticket, tenant, subject, client_retry, expires, payload } = checked;
         // Guards pay servers against a request sent under the name of one that is open.
-        let txn = payload.txn.clone();
-        if self.elsewhere.borrow().contains(&hex(&txn)) || !self.open.borrow_mut().insert(txn.clone()) {
-            let mut response = Response::with_body(StatusCode::CONFLICT, "a request of that X-Txn is open\n");
-            response.head_mut().set_connection_type(ConnectionType::Close);
-            return response.map_into_boxed_body();
+        let txn = hex(&payload.txn);
+        if self.elsewhere.borrow().contains(&txn) || !self.open.borrow_mut().insert(txn.clone()) {
+            return conflict();
+        }
+        let named = Named { txn, front: self };
+        match self.partners.claim(&named.txn) {
+            Some(claim) => {
+                if !claim.await {
+                    return conflict();
+                }
+            }
+            None => self.partners.tell_successor(link::Message::Opened(named.txn.clone())),
         }
-        self.partners.tell_successor(link::Message::Opened(hex(&txn)));
         let (reply, answer) = oneshot::channel();
         let flow = payload.flow().cloned();
         let arrival = Arrival { ticket, class, tenant, subject, client_retry, expires, payload, reply };
         self.queue.say(Message::Arrived(arrival));
-        let mut waiting = Waiting { ticket, txn, front: self, answered: false };
+        let mut waiting = Waiting { ticket, named, answered: false };
         let broken = async {
             match &flow {
                 Some(flow) => flow.broken().await,
@@ -519,21 +532,38 @@
 /// A request at the driver: dropped unanswered, its client has left.
 struct Waiting<'a> {
     ticket: Ticket,
-    txn: Vec<u8>,
-    front: &'a Front,
+    named: Named<'a>,
     answered: bool,
 }
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        self.front.open.borrow_mut().remove(&self.txn);
-        self.front.partners.tell_successor(link::Message::Closed(hex(&self.txn)));
         if !self.answered {
-            self.front.queue.say(Message::Left(self.ticket));
+            self.named.front.queue.say(Message::Left(self.ticket));
         }
     }
 }
 
+/// A name open here, from its claim on: the one place where it is given back, in both processes.
+struct Named<'a> {
+    txn: String,
+    front: &'a Front,
+}
+
+impl Drop for Named<'_> {
+    fn drop(&mut self) {
+        self.front.open.borrow_mut().remove(&self.txn);
+        self.front.partners.tell_successor(link::Message::Closed(self.txn.clone()));
+    }
+}
+
+/// The answer where a request of that name is open in this process or the other.
+fn conflict() -> Response<BoxBody> {
+    let mut response = Response::with_body(StatusCode::CONFLICT, "a request of that X-Txn is open\n");
+    response.head_mut().set_connection_type(ConnectionType::Close);
+    response.map_into_boxed_body()
+}
+
 /// A client's name for a request, as the processes of a replacement write it.
 fn hex(txn: &[u8]) -> String {
     txn.iter().map(|byte| format!("{byte:02x}")).collect()
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -179,13 +179,13 @@
             // Until then it goes on hearing its successor: bans made there hold here, too.
             _ = async { finished.as_mut().expect("checked").await }, if finished.is_some() => return Ok(()),
             Some(heard) = heard.recv() => match heard {
-                Heard::Came(stream) if part.may_be_succeeded() => {
+                Heard::Came(stream, claims) if part.may_be_succeeded() => {
                     let (reply, described) = oneshot::channel();
                     let _ = to_driver.send(Urgent::Describe(reply));
                     let Ok(described) = described.await else { return Err(DRIVERLESS.to_string()) };
                     let mut passed: Vec<_> = listener.iter().map(|listener| listener.as_fd()).collect();
                     passed.extend(passed_socket.as_ref().map(|socket| socket.as_fd()));
-                    match partners.welcome(stream, described, &passed, &to_heard).await {
+                    match partners.welcome(stream, described, &passed, claims, &to_heard).await {
                         Ok(()) => Some(Event::SuccessorCame),
                         Err(error) => {
                             warn!(log, "a successor left before its welcome"; "why" => %error);
@@ -193,7 +193,7 @@
                         }
                     }
                 }
-                Heard::Came(stream) => {
+                Heard::Came(stream, _) => {
                     handover::busy(stream, "it can't be replaced now".to_string()).await;
                     None
                 }
@@ -210,6 +210,15 @@
                     front.note_elsewhere(txn, false);
                     None
                 }
+                Heard::Said(Side::Predecessor, link::Message::Claim(txn)) => {
+                    let granted = front.grant(&txn);
+                    partners.tell_predecessor(link::Message::Claimed { txn, granted });
+                    None
+                }
+                Heard::Said(Side::Successor, link::Message::Claimed { txn, granted }) => {
+                    partners.claimed(&txn, granted);
+                    None
+                }
                 Heard::Said(side, message) => {
                     warn!(log, "out of place"; "from" => ?side, "said" => ?message);
                     None
--- a/crates/proxy/tests/operations.rs
+++ b/crates/proxy/tests/operations.rs
@@ -327,3 +327,59 @@
     let end = kept.read(&mut [0]);
     assert!(matches!(end, Ok(0)) || end.is_err_and(|e| e.kind() == ErrorKind::ConnectionReset));
 }
+
+/// A name open in the new process is not opened in the old one on a connection it kept: the successor decides.
+#[test]
+fn a_name_open_in_the_successor_is_refused_on_the_predecessors_kept_connection() {
+    let runs = Arc::new(AtomicUsize::new(0));
+    let seen = Arc::clone(&runs);
+    let server = listen(move |stream| {
+        let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
+        while let Some(head) = head(&mut reader) {
+            if head.to_ascii_lowercase().contains("x-txn: held") {
+                seen.fetch_add(1, Ordering::SeqCst);
+                std::thread::sleep(Duration::from_millis(800));
+            }
+            if (&stream).write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok").is_err() {
+                return;
+            }
+        }
+    });
+    let stage = Stage::new(&[server]);
+    let mut old = stage.start(stage.place());
+    old.ready();
+    let mut kept = BufReader::new(patient(TcpStream::connect(stage.listen).expect("it listens")));
+    let mut ask = |txn: &str| {
+        let text = format!("GET /balance HTTP/1.1\r\nHost: a\r\nX-Txn: {txn}\r\n\r\n");
+        kept.get_mut().write_all(text.as_bytes()).expect("written");
+        let head = head(&mut kept).expect("an answer");
+        if head.starts_with("HTTP/1.1 200") {
+            kept.read_exact(&mut [0; 2]).expect("a body");
+        }
+        head
+    };
+    assert!(ask("first").starts_with("HTTP/1.1 200"));
+    let new = stage.start(stage.place());
+    new.ready();
+    wait_log(&mut old.log, "a successor serves");
+    let held = std::thread::spawn({
+        let stage_listen = stage.listen;
+        move || {
+            let mut stream = patient(TcpStream::connect(stage_listen).expect("it listens"));
+            write!(stream, "GET /balance HTTP/1.1\r\nHost: a\r\nConnection: close\r\nX-Txn: held\r\n\r\n")
+                .expect("written");
+            let mut answer = String::new();
+            stream.read_to_string(&mut answer).expect("an answer");
+            answer
+        }
+    });
+    let start = Instant::now();
+    while runs.load(Ordering::SeqCst) == 0 {
+        assert!(start.elapsed() < Duration::from_secs(5), "the held request never came");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+    let second = ask("held");
+    assert!(second.starts_with("HTTP/1.1 409"), "{second}");
+    assert!(held.join().expect("it ends").starts_with("HTTP/1.1 200"));
+    assert_eq!(runs.load(Ordering::SeqCst), 1, "it ran once");
+}
