Replacement tests share one kept-connection request and use Stage::request

The kept-connection test now also asserts that each of its answers is a 200, where it read a 2-byte body before without asking.

--- a/crates/proxy/tests/operations.rs
+++ b/crates/proxy/tests/operations.rs
@@ -313,10 +313,8 @@
     old.ready();
     let mut kept = BufReader::new(patient(TcpStream::connect(stage.listen).expect("it listens")));
     let mut ask = |txn: &str| {
-        let text = format!("GET /balance HTTP/1.1\r\nHost: a\r\nX-Txn: {txn}\r\n\r\n");
-        kept.get_mut().write_all(text.as_bytes()).expect("written");
-        let head = head(&mut kept).expect("an answer");
-        kept.read_exact(&mut [0; 2]).expect("a body");
+        let head = ask_kept(&mut kept, txn);
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
         head.to_ascii_lowercase()
     };
     assert!(!ask("a").contains("connection: close"));
@@ -349,37 +347,32 @@
     let mut old = stage.start(stage.place());
     old.ready();
     let mut kept = BufReader::new(patient(TcpStream::connect(stage.listen).expect("it listens")));
-    let mut ask = |txn: &str| {
-        let text = format!("GET /balance HTTP/1.1\r\nHost: a\r\nX-Txn: {txn}\r\n\r\n");
-        kept.get_mut().write_all(text.as_bytes()).expect("written");
-        let head = head(&mut kept).expect("an answer");
-        if head.starts_with("HTTP/1.1 200") {
-            kept.read_exact(&mut [0; 2]).expect("a body");
-        }
-        head
-    };
+    let mut ask = |txn: &str| ask_kept(&mut kept, txn);
     assert!(ask("first").starts_with("HTTP/1.1 200"));
     let new = stage.start(stage.place());
     new.ready();
     wait_log(&mut old.log, "a successor serves");
-    let held = std::thread::spawn({
-        let stage_listen = stage.listen;
-        move || {
-            let mut stream = patient(TcpStream::connect(stage_listen).expect("it listens"));
-            write!(stream, "GET /balance HTTP/1.1\r\nHost: a\r\nConnection: close\r\nX-Txn: held\r\n\r\n")
-                .expect("written");
-            let mut answer = String::new();
-            stream.read_to_string(&mut answer).expect("an answer");
-            answer
+    std::thread::scope(|scope| {
+        let held = scope.spawn(|| stage.request("held"));
+        let start = Instant::now();
+        while runs.load(Ordering::SeqCst) == 0 {
+            assert!(start.elapsed() < Duration::from_secs(5), "the held request never came");
+            std::thread::sleep(Duration::from_millis(5));
         }
+        let second = ask("held");
+        assert!(second.starts_with("HTTP/1.1 409"), "{second}");
+        assert!(held.join().expect("it ends").starts_with("HTTP/1.1 200"));
     });
-    let start = Instant::now();
-    while runs.load(Ordering::SeqCst) == 0 {
-        assert!(start.elapsed() < Duration::from_secs(5), "the held request never came");
-        std::thread::sleep(Duration::from_millis(5));
-    }
-    let second = ask("held");
-    assert!(second.starts_with("HTTP/1.1 409"), "{second}");
-    assert!(held.join().expect("it ends").starts_with("HTTP/1.1 200"));
     assert_eq!(runs.load(Ordering::SeqCst), 1, "it ran once");
 }
+
+/// One request on a kept connection: the head of its answer, and the body of a 200 read off.
+fn ask_kept(kept: &mut BufReader<TcpStream>, txn: &str) -> String {
+    let text = format!("GET /balance HTTP/1.1\r\nHost: a\r\nX-Txn: {txn}\r\n\r\n");
+    kept.get_mut().write_all(text.as_bytes()).expect("written");
+    let head = head(kept).expect("an answer");
+    if head.starts_with("HTTP/1.1 200") {
+        kept.read_exact(&mut [0; 2]).expect("a body");
+    }
+    head
+}
