--- a/crates/balancer/src/balance.rs
+++ b/crates/balancer/src/balance.rs
@@ -7,8 +7,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::api::*;
-use crate::state::{Attempt, Mute, Node, Open, Rng, Turn, Usual, follow, mix, unit};
-use crate::{fleet::Fleet, news::News};
+use crate::silence::{self, Silence};
+use crate::state::{Attempt, Node, Open, Rng, Turn, Usual, follow, mix, unit};
+use crate::{fleet::Fleet, fleet::LOOKS, news::News};
 
 /// Beats in the shortest aim: how often measurements fade and cold servers are granted requests.
 const BEATS_PER_AIM: u64 = 10;
@@ -32,14 +33,8 @@
 const HASH_BOUND: f64 = 0.1;
 /// Requests that all agents together may send a cold server in a window of `safety.fall` on no evidence.
 const COLD_LEAST: f64 = 4.0;
-/// An agent keeps to as many servers as it has requests in this time, two at least: each is heard of often
-/// enough to be judged, and connections stay few. Others after a while: each agent, too, is even in the end.
-const SUBSET: (f64, f64) = (250_000.0, 2.0);
+/// Those that one of many agents keeps to change after this: each agent, too, is even in the end.
 const SUBSET_TURN: Micros = 60_000_000;
-/// Of a side with more servers than that, each request looks at so many only, others each time: a round is
-/// even, and no request costs more for a larger fleet.
-const WIDE: usize = 48;
-const LOOKS: usize = 16;
 /// One attempt's part in a server's average slowness, and how far that trims its share, against the others'.
 const LAG_PACE: f64 = 0.5;
 const TRIM: (f64, f64) = (1.5, 0.1);
@@ -48,8 +43,8 @@
 /// Average of failures that sets a server aside, and how far softer ones must stand out from the peers'.
 const EJECT_AT: f64 = 0.5;
 const EJECT_ABOVE_PEERS: f64 = 0.25;
-/// One attempt's part in the average of those that a server keeps silent on.
-const MUTE_PACE: f64 = 0.25;
+/// A server is asked for a sign when it owes an answer for as long as most take, or for so many beats.
+const SIGN_WITHIN: f64 = 5.0;
 /// First and longest time aside before a trial request; doubled at each failed trial.
 const ASIDE: (Micros, Micros) = (1_000_000, 8_000_000);
 /// Second attempts of what may have run, for each request taken: at least, and more for how much more often
@@ -66,6 +61,7 @@
     rng: Rng,
     now: Micros,
     fleet: Fleet,
+    silence: Silence,
     open: BTreeMap<RequestId, Open>,
     /// When requests are to be looked at, and the timer that is out.
     due: BTreeSet<(Micros, RequestId)>,
@@ -101,6 +97,7 @@
             rng: Rng(seed),
             now: 0,
             fleet: Fleet::new(settings.zone, settings.classes.len()),
+            silence: Silence::default(),
             open: BTreeMap::new(),
             due: BTreeSet::new(),
             armed: None,
@@ -135,7 +132,7 @@
             Event::HungUp { id } => self.close(id, out),
             Event::Timer { token } => self.armed = self.armed.filter(|at| *at != token),
             Event::Members(listing) => self.members(listing, out),
-            Event::Probed { server, outcome, .. } => self.probed(server, outcome),
+            Event::Probed { server, outcome, latency, .. } => self.probed(server, outcome, latency, out),
             Event::Peer { from, data } => self.news.hear(self.now, from, &data),
         }
         self.run_due(out);
@@ -201,30 +198,17 @@
         out.extend((self.fleet.len() == 0).then(|| Action::Log("no server is listed".into())));
     }
 
-    /// Part of its capacity that a server surely has: grows evenly from `cold_share` after a start.
     fn warmth(&self, node: &Node) -> f64 {
-        let (first, over) = (self.settings.safety.cold_share, self.settings.safety.cold.max(1) as f64);
-        let age = node.server.started.map_or(1.0, |at| self.now.saturating_sub(at) as f64 / over);
-        (first + (1.0 - first) * age).min(1.0)
-    }
-
-    /// Size against the mean, where the list tells sizes; momentary load in it is not wanted.
-    fn size(&self, node: &Node) -> f64 {
-        let told = self.settings.sizes == SizeMeaning::Capacity && node.server.size > 0.0;
-        if told { (node.server.size / self.mean_size).clamp(0.2, 5.0) } else { 1.0 }
+        node.warmth(self.now, &self.settings.safety)
     }
 
     /// Those that one of many agents keeps to, by an order of its own, before room is asked for: guards
     /// against full servers that send agents on to all. Of very many, some with room; else all of a side.
     fn some(&self, own: bool, fits: impl Fn(&&Node) -> bool, room: impl Fn(&&Node) -> bool) -> Vec<&Node> {
-        let few = self.few();
+        let few = self.news.in_sight(self.now);
         if few == usize::MAX {
-            if self.settings.warm_keys || self.fleet.side(own).len() <= WIDE {
-                return self.fleet.side(own).filter(fits).collect();
-            }
-            let looked = self.fleet.ring(own, self.round).filter(fits).take(LOOKS);
-            let (near, full): (Vec<&Node>, Vec<&Node>) = looked.partition(room);
-            return if near.is_empty() { full } else { near };
+            let from = (!self.settings.warm_keys).then_some(self.round);
+            return self.fleet.some(own, from, fits, room);
         }
         // Guards against waiting for cold ones while others further on have room.
         let offered = |(i, n): &(usize, &Node)| self.warmth(n) >= 1.0 || *i < few && n.cold_left >= 1.0;
@@ -232,30 +216,24 @@
         ring.map(|(_, n)| n).take(few).collect()
     }
 
-    /// To how many servers of a side this agent keeps: to all, unless it is one of many.
-    fn few(&self) -> usize {
-        let many = !self.settings.warm_keys && self.news.many;
-        if many { (self.news.asked_of_late(self.now) * SUBSET.0).max(SUBSET.1) as usize } else { usize::MAX }
-    }
-
     /// In flight in the own zone or the others, and the sum of limits there. Guards against limits on trust
     /// where agents are so many that even first ones leave each less than one: what is known counts for all.
     /// Who keeps silent on the class is none of it: its idle limit would keep the others' from growing.
     fn zone_load(&self, own: bool, class: ClassId) -> (f64, f64) {
-        let here = |n: &&Node| (n.server.zone == self.settings.zone) == own && !self.heard(n, class);
+        let here = |n: &&Node| (n.server.zone == self.settings.zone) == own && !self.answers(n, class);
         let load = self.fleet.silent(class).filter(here).fold(self.fleet.load(own), |l, n| l.without(n));
         let (out, all) = (load.out as f64, (load.fit + load.aside) as f64);
-        if load.fit > 0 && all * LIMIT_FIRST >= f64::from(self.settings.balancers) {
+        if load.fit > 0 && self.news.in_sight(self.now) >= load.fit {
             return (out, load.fit_limit.value());
         }
-        let known = |n: &&Node| n.aside.is_none() && self.heard(n, class);
+        let known = |n: &&Node| n.aside.is_none() && self.answers(n, class);
         let few = if load.fit > 0 { self.some(own, known, |_| true) } else { Vec::new() };
         let limits = few.iter().map(|n| n.limit).sum::<f64>() + load.aside_limit.value();
         (out, limits * all / (few.len() + load.aside).max(1) as f64)
     }
 
     /// Whether it may be sent a class: it answers that, or a trial is due.
-    fn heard(&self, node: &Node, class: ClassId) -> bool {
+    fn answers(&self, node: &Node, class: ClassId) -> bool {
         node.mute.get(&class).is_none_or(|m| m.until <= self.now)
     }
 
@@ -274,12 +252,13 @@
         let least = COLD_LEAST / f64::from(self.settings.balancers) / fall;
         let due = self.fleet.cold_due(self.now);
         let served = if due.is_empty() { 0.0 } else { self.fleet.awake().map(|n| n.oks).sum::<f64>() };
-        let (own, few) = (self.fleet.side(true).len(), self.few());
+        let (own, few) = (self.fleet.side(true).len(), self.news.in_sight(self.now));
         let means = [own + self.fleet.side(false).len(), own].map(|n| served / n.clamp(1, few) as f64);
         for id in due {
             let Some(node) = self.fleet.get(id).filter(|n| self.warmth(n) < 1.0) else { continue };
             let mean = means[usize::from(node.server.zone == self.settings.zone)];
-            let carried = (mean * self.warmth(node) * self.size(node)).max(node.oks);
+            let size = node.size(&self.settings, self.mean_size);
+            let carried = (mean * self.warmth(node) * size).max(node.oks);
             let rate = multiple / 2.0 * carried / RATE_MEMORY + least;
             let (window, chance) = ((1.0 / rate).clamp(self.beat as f64, fall), self.rng.unit());
             let Some(node) = self.fleet.touch(id) else { continue };
@@ -378,52 +357,46 @@
         }
     }
 
-    /// Judges whether a server answers a class. Guards classes against servers silent on them alone: the
-    /// others' answers hide that, and clients leave before such an attempt times out.
-    fn hear(&mut self, e: &Settled, class: Option<ClassId>, sent: Option<Micros>, out: &mut Vec<Action>) {
-        let Some((class, at)) = class.zip(sent) else { return };
-        let late = self.now - at >= self.settings.classes[class].aim;
-        let silent = match e.outcome {
-            Outcome::Ok => false,
-            Outcome::Cancelled | Outcome::Timeout if late => true,
-            _ => return,
-        };
-        let Some(node) = self.fleet.get(e.server).filter(|n| at >= n.since) else { return };
-        let known = node.mute.get(&class);
-        if at < known.map_or(0, |m| m.since) || known.is_none() && !silent {
-            return; // it was sent before the class was left out, or all is well
-        }
-        let usual = self.fleet.hush(class).without(known.map_or(0.0, |m| m.failing));
-        let usual = usual / (self.fleet.len() as f64 - 1.0).max(1.0);
-        self.fleet.change_mute(e.server, class, |mute| {
-            mute.failing += MUTE_PACE * (f64::from(u8::from(silent)) - mute.failing);
-            if silent && mute.failing >= EJECT_AT && mute.failing - usual >= EJECT_ABOVE_PEERS {
-                mute.backoff = (mute.backoff * 2).clamp(ASIDE.0, ASIDE.1);
-                (mute.since, mute.until) = (self.now, self.now + mute.backoff);
-                out.push(Action::Log(format!("server {:016x} keeps silent on class {class}", e.server.0)));
-            } else if !silent && mute.since > 0 {
-                *mute = Mute::default();
+    /// A server answered a probe: in use if it was set aside. Or it met nothing: it rests, longer each time.
+    /// Who failed is back on probation: a probe tells that it is there, not that it serves.
+    fn probed(&mut self, server: ServerId, outcome: Outcome, took: Micros, out: &mut Vec<Action>) {
+        let (now, there) = (self.now, matches!(outcome, Outcome::Ok | Outcome::Full));
+        // Guards against coming home late to a zone of which nothing is usable.
+        let none = self.fleet.get(server).is_some_and(|n| self.fleet.zone(n.server.zone).fit == 0);
+        self.fleet.change(server, |node| {
+            if !there {
+                let most = if none { 2 * ASIDE.0 } else { ASIDE.1 };
+                node.backoff = (node.backoff * 2).clamp(ASIDE.0, most);
+                node.aside = Some((node.aside.map_or(now, |a| a.0), now + node.backoff));
+            } else if node.aside.take().is_some() {
+                node.failing = EJECT_AT / 2.0;
             }
         });
+        self.heard(server, there || silence::gave_sign(outcome, took) == Some(true), out);
     }
 
-    /// A server set aside answered its trial probe, or did not: it is back in use, or rests for longer.
-    fn probed(&mut self, server: ServerId, outcome: Outcome) {
-        self.fleet.change(server, |node| {
-            let Some((since, _)) = node.aside else { return };
-            if outcome == Outcome::Ok {
-                (node.aside, node.failing) = (None, 0.0);
-            } else {
-                node.backoff = (node.backoff * 2).clamp(ASIDE.0, ASIDE.1);
-                node.aside = Some((since, self.now + node.backoff));
-            }
-        });
+    /// A server gave a sign, or met nothing when it owed one. A silent zone is not usable until a probe finds
+    /// it back; what is out where nothing is heard goes elsewhere if that is harmless and of use.
+    fn heard(&mut self, server: ServerId, sign: bool, out: &mut Vec<Action>) {
+        let found = self.silence.heard(&self.fleet, server, sign, self.now, &mut self.rng);
+        out.extend(found.log.map(Action::Log));
+        out.extend(found.ask.into_iter().map(|server| Action::Probe { server }));
+        let (limits, silence) = (&self.settings.limits, &self.silence);
+        for (&id, open) in self.open.iter().filter(|_| !sign && limits.cancel) {
+            let (class, usual) =
+                (&self.settings.classes[open.request.class], &self.usual[open.request.class]);
+            let nothing = |a: &Attempt| a.server == server || silence.silent(a.zone);
+            let useful = self.now + (usual.median as Micros) < open.aim_at;
+            let stranded = open.stranded(class, limits, nothing).filter(|_| useful);
+            out.extend(stranded.map(|attempt| Action::Cancel { id, attempt }));
+        }
     }
 
     /// Lets measurements fade and cold servers have their due.
     fn beat(&mut self, out: &mut Vec<Action>) {
         let kept = |memory: f64| 1.0 - self.beat as f64 / memory;
         let (now, faded) = (self.now, (kept(LAG_MEMORY), kept(RATE_MEMORY)));
+        let silence = &self.silence;
         self.fleet.look_after(|node| {
             (node.lag, node.oks) = (node.lag * faded.0, node.oks * faded.1);
             // Guards the servers' connection tables against many agents' idle ones.
@@ -433,12 +406,18 @@
             }
             // Guards against servers set aside for good where no class may be repeated at will: a probe is
             // the trial, and costs no request.
-            let ready = self.settings.limits.probes && node.server.phase == Phase::Ready;
+            let there = node.server.phase == Phase::Ready && !silence.silent(node.server.zone);
+            let ready = self.settings.limits.probes && there;
             if let Some((_, until)) = node.aside.as_mut().filter(|(_, until)| ready && *until <= now) {
                 *until = now + node.backoff;
                 out.push(Action::Probe { server: node.server.id });
             }
         });
+        if self.settings.limits.probes {
+            let high = self.usual.iter().map(|u| u.high).fold(SIGN_WITHIN * self.beat as f64, f64::min);
+            let due = self.silence.due(&self.fleet, now, high as Micros, &mut self.rng);
+            out.extend(due.into_iter().map(|server| Action::Probe { server }));
+        }
         self.refill_cold();
         // Guards the busiest of many agents against the even part of limits, most of which the others leave.
         self.fleet.scale(self.news.follow(now));
@@ -464,9 +443,10 @@
                 let trial = free && self.rest[usize::from(own)] <= self.now;
                 let fits = |n: &&Node| {
                     let well = n.aside.is_none_or(|(_, until)| trial && until <= self.now);
-                    (!health || well && self.heard(n, open.request.class))
+                    (!health || well && self.answers(n, open.request.class))
                         && (again || open.attempts.iter().all(|a| a.server != n.server.id))
                         && self.allowed(open, n)
+                        && !self.silence.silent(n.server.zone)
                 };
                 // The first test spares the look at each of a side that is set aside as a whole.
                 let none = health && !trial && self.fleet.load(own).fit == 0;
@@ -505,8 +485,8 @@
         let usual = members().map(|n| n.lag).sum::<f64>() / set.len().max(1) as f64;
         let trim = |n: &Node| (1.0 - TRIM.0 * (n.lag - usual)).clamp(TRIM.1, 1.0);
         let warm = |n: &Node| (self.warmth(n) / n.cold_chance).min(1.0);
-        let shares: Vec<(f64, f64)> =
-            members().map(|n| (self.size(n) * warm(n) * trim(n), self.size(n))).collect();
+        let size = |n: &Node| n.size(&self.settings, self.mean_size);
+        let shares: Vec<(f64, f64)> = members().map(|n| (size(n) * warm(n) * trim(n), size(n))).collect();
         let total: f64 = shares.iter().map(|s| s.0).sum();
         let rate = if key.is_some() { 1.0 + HASH_BOUND } else { 1.0 };
         let (mut chosen, mut best) = (None, (false, f64::NEG_INFINITY));
@@ -552,6 +532,11 @@
         let (set, key, turn) = (self.candidates(open), open.request.key, open.turn);
         let useful_until = open.aim_at.saturating_sub(self.usual[open.request.class].median as Micros);
         let later = [open.spill_at, useful_until, open.unsent_until].map(|at| (at, id));
+        if set.is_empty() && self.silence.all(&self.fleet) {
+            // Guards clients against waiting where this agent itself is cut off.
+            self.end(id, out);
+            return true;
+        }
         let Some(server) = self.draw(set, key) else {
             if self.held.insert(turn) {
                 self.due.extend(later);
@@ -580,6 +565,7 @@
             (node.server.zone, node.server.cell, timeout)
         });
         let Some((zone, cell, timeout)) = sent else { return };
+        self.silence.sent(server, zone, now);
         self.held.remove(&open.turn);
         open.attempts.push(Attempt { server, zone, cell, sent: now, outcome: None });
         out.push(Action::Send { id, server, timeout });
@@ -618,7 +604,18 @@
         let attempt = open.and_then(|o| o.attempts.get_mut(e.attempt as usize));
         let sent = attempt.filter(|a| a.outcome.is_none()).map(|a| a.end(e.outcome));
         self.note(&e, class, sent, out);
-        self.hear(&e, class, sent, out);
+        if let Some((class, at)) = class.zip(sent) {
+            let aim = self.settings.classes[class].aim;
+            let silent = silence::hear(&mut self.fleet, (&e, class, at), (self.now, aim), ASIDE);
+            out.extend(silent.map(Action::Log));
+            self.silence.ended(e.server);
+            let sign = silence::gave_sign(e.outcome, e.latency);
+            sign.into_iter().for_each(|sign| self.heard(e.server, sign, out));
+            // Two in a row: guards those that may not repeat, for a dead process resets and then refuses.
+            let again = self.fleet.get(e.server).is_some_and(|n| n.failing > EJECT_AT / 4.0);
+            let broke = e.outcome == Outcome::Reset && again && self.settings.limits.probes;
+            out.extend(broke.then_some(Action::Probe { server: e.server }));
+        }
         let Some(open) = self.open.get(&e.id) else { return };
         if e.finished || open.done {
             if !open.done && open.outstanding() > 0 {
@@ -637,7 +634,7 @@
         // Guards against holding what may go nowhere any more: it would block those behind it.
         let somewhere = self.fleet.ready().any(|n| self.allowed(open, n));
         // Free only where the server is likely gone: guards against storms of retries among full servers.
-        let price = if outcome == Outcome::ConnectFailed { 0.0 } else { 1.0 };
+        let price = if matches!(outcome, Outcome::ConnectFailed | Outcome::Cancelled) { 0.0 } else { 1.0 };
         let hopeless = self.now >= open.last.min(open.aim_at) || !somewhere || outcome == Outcome::Rejected;
         if hopeless || !open.tries_left(&self.settings.limits) || self.budget < price {
             return self.end(id, out);
--- a/crates/balancer/src/fleet.rs
+++ b/crates/balancer/src/fleet.rs
@@ -12,6 +12,10 @@
 
 /// Below this a fading measurement counts as gone.
 const GONE: f64 = 1e-6;
+/// Of a side with more servers than this, one request looks at so many only, others each time: a round is even, and no
+/// request costs more for a larger fleet.
+const WIDE: usize = 48;
+pub(crate) const LOOKS: usize = 16;
 /// Units in one.
 const UNITS: f64 = 4_294_967_296.0;
 
@@ -79,6 +83,11 @@
         limit.add(node.limit, sign);
     }
 
+    /// Those that take requests.
+    pub fn ready(&self) -> usize {
+        self.fit + self.aside
+    }
+
     /// The same without one server.
     pub fn without(mut self, node: &Node) -> Self {
         self.count(node, -1);
@@ -271,6 +280,11 @@
         self.zones.get(zone).copied().unwrap_or_default()
     }
 
+    /// The agent's own zone.
+    pub fn own(&self) -> ZoneId {
+        self.own
+    }
+
     /// Those of the own zone, or of all others.
     pub fn load(&self, own: bool) -> Load {
         let mut load = Load::default();
@@ -298,6 +312,23 @@
         after.iter().chain(before).map(|(_, id)| &self.nodes[id])
     }
 
+    /// Those of a side that fit; of very many (where `from` says where this round has come to) some, with room if they
+    /// have it.
+    pub fn some(
+        &self,
+        own: bool,
+        from: Option<usize>,
+        fits: impl Fn(&&Node) -> bool,
+        room: impl Fn(&&Node) -> bool,
+    ) -> Vec<&Node> {
+        let Some(from) = from.filter(|_| self.side(own).len() > WIDE) else {
+            return self.side(own).filter(fits).collect();
+        };
+        let looked = self.ring(own, from).filter(fits).take(LOOKS);
+        let (near, full): (Vec<&Node>, Vec<&Node>) = looked.partition(room);
+        if near.is_empty() { full } else { near }
+    }
+
     /// Those left out for a class, or tried again for it.
     pub fn silent(&self, class: ClassId) -> impl Iterator<Item = &Node> {
         let range = (class, ServerId(0))..=(class, ServerId(u64::MAX));
--- a/crates/balancer/src/lib.rs
+++ b/crates/balancer/src/lib.rs
@@ -32,6 +32,7 @@
 mod balance;
 mod fleet;
 mod news;
+mod silence;
 mod state;
 
 pub use api::*;
--- a/crates/balancer/src/news.rs
+++ b/crates/balancer/src/news.rs
@@ -22,14 +22,18 @@
 const EVERY_AGENT: Micros = 10_000;
 /// Agents not heard of for so many turns are gone.
 const TURNS: u64 = 4;
+/// An agent keeps to as many servers as it has requests in this time, two at least: each is heard of often
+/// enough to be judged, and connections stay few.
+const SUBSET: (f64, f64) = (250_000.0, 2.0);
 /// The own part follows in steps of this ratio: smaller moves are not worth the work.
 const STEP: f64 = 1.1;
 
 /// What this agent is asked for, what others said of themselves of late, and when this one speaks next.
 pub(crate) struct News {
     rng: Rng,
-    /// Whether there are so many agents that an even part of a limit is less than one request.
-    pub many: bool,
+    /// Whether there are so many agents that an even part of a limit is less than one request, and each therefore
+    /// keeps to few servers.
+    few: bool,
     /// Whether agents talk at all, how many there are, and who this one is.
     talks: bool,
     agents: usize,
@@ -48,12 +52,13 @@
 
 impl News {
     /// Nothing heard yet. Only where agents are `many` is there need of news.
+    /// Where keys are to stay warm, each agent uses all servers all the same.
     pub fn new(settings: &Settings, many: bool, seed: u64) -> Self {
         let (agents, me) = (settings.balancers.max(1) as usize, settings.me as usize);
         let talks = settings.limits.peers && many;
         News {
             rng: Rng(mix(!seed)),
-            many,
+            few: many && !settings.warm_keys,
             talks,
             agents,
             me,
@@ -77,8 +82,13 @@
         self.asked * (-(now.saturating_sub(self.faded) as f64) / MEMORY).exp()
     }
 
+    /// To how many servers of a side this agent keeps: to all, unless it is one of many.
+    pub fn in_sight(&self, now: Micros) -> usize {
+        if self.few { (self.asked_of_late(now) * SUBSET.0).max(SUBSET.1) as usize } else { usize::MAX }
+    }
+
     /// What this agent is asked for of late, in requests in a microsecond; rises from nothing at the start.
-    pub fn asked_of_late(&self, now: Micros) -> f64 {
+    fn asked_of_late(&self, now: Micros) -> f64 {
         self.left(now) / MEMORY
     }
 
--- /dev/null
+++ b/crates/balancer/src/silence.rs
@@ -0,0 +1,426 @@
+//! Who gives no sign at all: servers, zones and classes that keep silent. No I/O, and nothing here decides about a
+//! request: `balance.rs` tells what is sent and heard and asks whom to probe and who is silent.
+//!
+//! Silence is not slowness. A slow zone still gives signs: an answer however late, a refusal, an error, the answer to
+//! a probe, which is given beside a server's queue. One that is cut off or gone without a word gives none. So a zone
+//! that owes answers and from which nothing at all is heard for longer than usual is asked for a sign: one probe, then
+//! two more. It is silent when a few of its servers ([`WITNESSES`]; all, where it has fewer) meet the probes with
+//! nothing and no sign of any of its servers comes in between; one sign ends it. The scheme is SWIM's direct probe (Das,
+//! Gupta and Motivala 2002) with several witnesses for a zone. Why there is no accrual over the gaps between answers
+//! (Hayashibara et al. 2004), and no probe for each late answer: `docs/design/silence.md`.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use crate::api::*;
+use crate::fleet::Fleet;
+use crate::state::{Mute, Node, Rng};
+
+/// Servers found silent in a row that make their zone silent: at first, and while it has been silent of late.
+const WITNESSES: (usize, usize) = (3, 2);
+/// A zone that has been silent counts as such for this long after its first sign.
+const OF_LATE: Micros = 15_000_000;
+/// The own zone, while silent, is tried again by a probe after the first, then less often up to the last; another zone,
+/// which is rarely needed, after so many times that. The agents of a tier that found it silent at once spread over half
+/// of it.
+const TRIALS: (Micros, Micros) = (300_000, 600_000);
+const TRIALS_AWAY: Micros = 8;
+/// A quiet zone that owes one answer alone is asked after so many times the usual; those that owe more, after it.
+const OF_ONE: Micros = 2;
+/// A zone that was asked and stays quiet is asked for its other witnesses after this, and for all again after the
+/// second.
+const ASK_MORE: (Micros, Micros) = (60_000, 1_000_000);
+/// A connection that fails after this or later never came up: the refusal of a process that is gone takes one
+/// way there and back.
+const NEVER_CAME_UP: Micros = 100_000;
+/// One attempt's part in the average of those that a server keeps silent on, and what that average is to be, and to be
+/// above the others', for the class to be left out.
+const MUTE_PACE: f64 = 0.25;
+const MUTE_AT: f64 = 0.5;
+const MUTE_ABOVE_PEERS: f64 = 0.25;
+
+/// What is to be done about a sign, or its lack: a line for the log, and whom to probe.
+#[derive(Debug, Default)]
+pub(crate) struct Found {
+    pub log: Option<String>,
+    pub ask: Vec<ServerId>,
+}
+
+/// What one more unanswered probe or connection says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Verdict {
+    /// Nothing new.
+    Nothing,
+    /// The server is silent; so many others of its zone are to be probed, to know whether the zone is.
+    Server(usize),
+    /// With this server its whole zone is silent.
+    Zone,
+}
+
+/// A server that owes an answer.
+struct Owing {
+    zone: ZoneId,
+    /// Attempts out, and since when nothing was heard.
+    out: u32,
+    since: Micros,
+}
+
+#[derive(Default)]
+struct Zone {
+    /// Its last sign; since then probed, and when first.
+    heard: Micros,
+    asked: Vec<ServerId>,
+    asked_at: Micros,
+    /// Found silent since the last sign of any server here.
+    found: BTreeSet<ServerId>,
+    /// Silent: when it is tried again, and after how long the next time.
+    silent: Option<(Micros, Micros)>,
+    /// Its first sign after it was silent.
+    back: Option<Micros>,
+}
+
+/// What was heard of whom.
+#[derive(Default)]
+pub(crate) struct Silence {
+    owing: BTreeMap<ServerId, Owing>,
+    zones: Vec<Zone>,
+}
+
+impl Silence {
+    fn zone(&mut self, zone: ZoneId) -> &mut Zone {
+        if zone >= self.zones.len() {
+            self.zones.resize_with(zone + 1, Zone::default);
+        }
+        &mut self.zones[zone]
+    }
+
+    /// An attempt went out.
+    pub fn sent(&mut self, server: ServerId, zone: ZoneId, now: Micros) {
+        self.zone(zone);
+        let owing = self.owing.entry(server).or_insert(Owing { zone, out: 0, since: now });
+        if owing.out == 0 {
+            owing.since = now;
+        }
+        owing.out += 1;
+    }
+
+    /// An attempt ended, whatever was heard.
+    pub fn ended(&mut self, server: ServerId) {
+        if let Some(owing) = self.owing.get_mut(&server) {
+            owing.out = owing.out.saturating_sub(1);
+            if owing.out == 0 {
+                self.owing.remove(&server);
+            }
+        }
+    }
+
+    /// A server gave a sign, or met nothing when it owed one.
+    pub fn heard(
+        &mut self,
+        fleet: &Fleet,
+        server: ServerId,
+        sign: bool,
+        now: Micros,
+        rng: &mut Rng,
+    ) -> Found {
+        let Some(zone) = fleet.get(server).map(|n| n.server.zone) else { return Found::default() };
+        if sign {
+            let back = self.sign(server, zone, now);
+            let log = back.then(|| format!("zone {zone} gives signs again"));
+            return Found { log, ask: Vec::new() };
+        }
+        let ready = fleet.zone(zone).ready();
+        match self.unanswered(server, (zone, fleet.own() == zone), ready, now, rng.unit()) {
+            Verdict::Nothing => Found::default(),
+            Verdict::Zone => {
+                let log = Some(format!("zone {zone} is silent: no server there gives a sign"));
+                Found { log, ask: Vec::new() }
+            }
+            Verdict::Server(others) => {
+                let other = |n: &&Node| n.server.id != server && n.aside.is_none();
+                let skip = (rng.unit() * ready.saturating_sub(others + 1) as f64) as usize;
+                let ask = here(fleet, zone).filter(other).skip(skip).take(others);
+                Found { log: None, ask: ask.map(|n| n.server.id).collect() }
+            }
+        }
+    }
+
+    /// Whom to probe now: servers of quiet zones that owe answers for longer than `usual`, and one of each silent zone
+    /// whose trial is due.
+    pub fn due(&mut self, fleet: &Fleet, now: Micros, usual: Micros, rng: &mut Rng) -> Vec<ServerId> {
+        let mut due = self.suspects(now, usual, fleet.own());
+        for zone in self.trials(now) {
+            let nth = (rng.unit() * fleet.zone(zone).ready() as f64) as usize;
+            due.extend(here(fleet, zone).nth(nth).map(|n| n.server.id));
+        }
+        due
+    }
+
+    /// The server gave a sign; true where its zone was silent until now.
+    fn sign(&mut self, server: ServerId, zone: ZoneId, now: Micros) -> bool {
+        if let Some(owing) = self.owing.get_mut(&server) {
+            owing.since = now;
+        }
+        let zone = self.zone(zone);
+        zone.heard = now;
+        zone.asked.clear();
+        zone.found.clear();
+        let ends = zone.silent.take().is_some();
+        if ends {
+            zone.back = Some(now);
+        }
+        ends
+    }
+
+    /// Whom to ask for a sign: of each zone that owes answers and was not heard of for longer than `usual` (for
+    /// [`OF_ONE`] times as long where it owes one alone), those that owe longest: one, then the other witnesses. Zones
+    /// other than the `own` are asked only where they owe enough for all witnesses: guards against a probe for each
+    /// late answer to a request that crossed.
+    fn suspects(&mut self, now: Micros, usual: Micros, own: ZoneId) -> Vec<ServerId> {
+        let mut due = Vec::new();
+        for (id, zone) in self.zones.iter_mut().enumerate().filter(|(_, z)| z.silent.is_none()) {
+            let mut owing: Vec<(Micros, ServerId)> = self
+                .owing
+                .iter()
+                .filter(|(_, o)| o.zone == id)
+                .map(|(server, o)| (o.since, *server))
+                .collect();
+            owing.sort_unstable();
+            let Some(&(first, _)) = owing.first() else { continue };
+            let out: u32 = self.owing.values().filter(|o| o.zone == id).map(|o| o.out).sum();
+            if id != own && out < WITNESSES.0 as u32 {
+                continue;
+            }
+            let one = out == 1;
+            let patience = if one { usual * OF_ONE } else { usual };
+            if now < first.max(zone.heard) + patience {
+                continue;
+            }
+            let (more, again) = (zone.asked_at + ASK_MORE.0, zone.asked_at + ASK_MORE.1);
+            if !zone.asked.is_empty() && now >= again {
+                zone.asked.clear();
+            }
+            let wanted = match zone.asked.len() {
+                0 => 1,
+                1 if now >= more => WITNESSES.0 - 1,
+                _ => continue,
+            };
+            if zone.asked.is_empty() {
+                zone.asked_at = now;
+            }
+            let others = owing.iter().map(|o| o.1).filter(|o| !zone.asked.contains(o));
+            let ask: Vec<ServerId> = others.take(wanted).collect();
+            zone.asked.extend(&ask);
+            due.extend(ask);
+        }
+        due
+    }
+
+    /// A probe of a server, or a connection to it, met nothing in the time it may take; `size` servers are in its
+    /// zone. `draw` in [0, 1) spreads the trials.
+    fn unanswered(
+        &mut self,
+        server: ServerId,
+        (zone, own): (ZoneId, bool),
+        size: usize,
+        now: Micros,
+        draw: f64,
+    ) -> Verdict {
+        let zone = self.zone(zone);
+        if zone.silent.is_some() || !zone.found.insert(server) {
+            return Verdict::Nothing;
+        }
+        // A zone that comes and goes is left sooner each time, not later.
+        let of_late = zone.back.is_some_and(|at| now < at + OF_LATE);
+        let needed = if of_late { WITNESSES.1 } else { WITNESSES.0 }.min(size.max(1));
+        if zone.found.len() < needed {
+            let asked = zone.asked.iter().filter(|id| !zone.found.contains(id)).count();
+            let more = needed.saturating_sub(zone.found.len() + asked);
+            return Verdict::Server(if zone.found.len() == 1 { more } else { 0 });
+        }
+        let wait = if own { TRIALS.0 } else { TRIALS.0 * TRIALS_AWAY };
+        zone.silent = Some((now + (wait as f64 * (0.5 + draw / 2.0)) as Micros, wait));
+        Verdict::Zone
+    }
+
+    /// Whether the whole zone is silent.
+    pub fn silent(&self, zone: ZoneId) -> bool {
+        self.zones.get(zone).is_some_and(|z| z.silent.is_some())
+    }
+
+    /// Whether every zone with servers that take requests is silent: then this agent itself is cut off.
+    pub fn all(&self, fleet: &Fleet) -> bool {
+        let any = self.zones.iter().any(|z| z.silent.is_some());
+        any && fleet.ready().all(|n| self.silent(n.server.zone))
+    }
+
+    /// The silent zones whose trial is due: one probe each.
+    fn trials(&mut self, now: Micros) -> Vec<ZoneId> {
+        let mut due = Vec::new();
+        for (id, zone) in self.zones.iter_mut().enumerate() {
+            if let Some((at, wait)) = zone.silent.as_mut().filter(|(at, _)| *at <= now) {
+                *wait = (*wait * 3 / 2).min(if *wait > TRIALS.1 { TRIALS.1 * TRIALS_AWAY } else { TRIALS.1 });
+                *at = now + *wait;
+                due.push(id);
+            }
+        }
+        due
+    }
+}
+
+/// Those of a zone that take requests.
+fn here(fleet: &Fleet, zone: ZoneId) -> impl Iterator<Item = &Node> {
+    fleet.ready().filter(move |n| n.server.zone == zone)
+}
+
+/// What the end of an attempt says of whether its server is there at all: a sign, none, or nothing either way.
+pub(crate) fn gave_sign(outcome: Outcome, latency: Micros) -> Option<bool> {
+    match outcome {
+        Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::Spoilt | Outcome::Rejected => Some(true),
+        Outcome::ConnectFailed => Some(latency < NEVER_CAME_UP),
+        Outcome::Reset | Outcome::Timeout | Outcome::Cancelled | Outcome::Moot => None,
+    }
+}
+
+/// Judges by the end of an attempt sent at `at` whether its server answers a class. Guards classes against servers
+/// silent on them alone: the others' answers hide that, and clients leave before such an attempt times out. `rest` is
+/// the first and the longest time the class is left out there; a line for the log where it is from now on.
+pub(crate) fn hear(
+    fleet: &mut Fleet,
+    (e, class, at): (&Settled, ClassId, Micros),
+    (now, aim): (Micros, Micros),
+    rest: (Micros, Micros),
+) -> Option<String> {
+    let silent = match e.outcome {
+        Outcome::Ok => false,
+        Outcome::Cancelled | Outcome::Timeout if now - at >= aim => true,
+        _ => return None,
+    };
+    let node = fleet.get(e.server).filter(|n| at >= n.since)?;
+    let known = node.mute.get(&class);
+    if at < known.map_or(0, |m| m.since) || known.is_none() && !silent {
+        return None; // it was sent before the class was left out, or all is well
+    }
+    let usual = fleet.hush(class).without(known.map_or(0.0, |m| m.failing));
+    let usual = usual / (fleet.len() as f64 - 1.0).max(1.0);
+    let left_out = fleet.change_mute(e.server, class, |mute| {
+        mute.failing += MUTE_PACE * (f64::from(u8::from(silent)) - mute.failing);
+        if silent && mute.failing >= MUTE_AT && mute.failing - usual >= MUTE_ABOVE_PEERS {
+            mute.backoff = (mute.backoff * 2).clamp(rest.0, rest.1);
+            (mute.since, mute.until) = (now, now + mute.backoff);
+            return true;
+        }
+        if !silent && mute.since > 0 {
+            *mute = Mute::default();
+        }
+        false
+    });
+    left_out.filter(|out| *out).map(|_| format!("server {:016x} keeps silent on class {class}", e.server.0))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const MS: Micros = 1_000;
+
+    fn id(n: u64) -> ServerId {
+        ServerId(n)
+    }
+
+    #[test]
+    fn a_quiet_zone_that_owes_answers_is_asked_for_a_sign_and_a_sign_ends_that() {
+        let mut s = Silence::default();
+        s.sign(id(9), 0, 0);
+        (1..=4).for_each(|n| s.sent(id(n), 0, 10 * MS * n));
+        assert_eq!(s.suspects(109 * MS, 100 * MS, 0), []);
+        assert_eq!(s.suspects(110 * MS, 100 * MS, 0), [id(1)]);
+        assert_eq!(s.suspects(150 * MS, 100 * MS, 0), [], "one first");
+        assert_eq!(s.suspects(170 * MS, 100 * MS, 0), [id(2), id(3)], "then the other witnesses");
+        assert_eq!(s.suspects(900 * MS, 100 * MS, 0), []);
+        assert!(!s.sign(id(4), 0, 950 * MS), "the zone was not silent yet");
+        assert_eq!(s.suspects(1_049 * MS, 100 * MS, 0), [], "its quiet counts from the sign");
+        assert_eq!(s.suspects(1_050 * MS, 100 * MS, 0), [id(1)]);
+        (1..=3).for_each(|n| s.ended(id(n)));
+        s.sign(id(5), 0, 2_000 * MS);
+        assert_eq!(s.suspects(2_199 * MS, 100 * MS, 0), [], "one answer alone is waited for longer");
+        assert_eq!(s.suspects(2_200 * MS, 100 * MS, 0), [id(4)]);
+        s.ended(id(4));
+        assert_eq!(s.suspects(9_000 * MS, 100 * MS, 0), [], "who owes nothing is left alone");
+    }
+
+    #[test]
+    fn three_in_a_row_make_a_zone_silent_and_any_sign_between_them_does_not() {
+        let mut s = Silence::default();
+        assert_eq!(s.unanswered(id(1), (0, true), 50, 0, 0.0), Verdict::Server(2));
+        assert_eq!(s.unanswered(id(1), (0, true), 50, 1, 0.0), Verdict::Nothing, "the same one again");
+        assert_eq!(s.unanswered(id(2), (0, true), 50, 2, 0.0), Verdict::Server(0));
+        s.sign(id(9), 0, 3);
+        assert_eq!(s.unanswered(id(3), (0, true), 50, 4, 0.0), Verdict::Server(2), "the zone spoke");
+        s.unanswered(id(4), (0, true), 50, 5, 0.0);
+        assert_eq!(s.unanswered(id(7), (1, true), 50, 6, 0.0), Verdict::Server(2), "zones are apart");
+        assert_eq!(s.unanswered(id(5), (0, true), 50, 7, 0.0), Verdict::Zone);
+        assert!(s.silent(0) && !s.silent(1));
+        let mut few = Silence::default();
+        few.unanswered(id(1), (0, true), 2, 0, 0.0);
+        assert_eq!(
+            few.unanswered(id(2), (0, true), 2, 1, 0.0),
+            Verdict::Zone,
+            "a zone of two has two witnesses"
+        );
+    }
+
+    #[test]
+    fn a_silent_zone_is_tried_by_one_probe_at_a_time_and_is_left_sooner_the_next_time() {
+        let mut s = Silence::default();
+        (1..=3).for_each(|n| _ = s.unanswered(id(n), (0, true), 50, 0, 0.999));
+        assert_eq!(s.trials(TRIALS.0 / 2), []);
+        assert_eq!(s.trials(TRIALS.0), [0]);
+        assert_eq!(s.trials(TRIALS.0 + 1), []);
+        assert_eq!(s.trials(TRIALS.0 * 5 / 2), [0]);
+        assert_eq!(
+            s.unanswered(id(4), (0, true), 50, TRIALS.0, 0.0),
+            Verdict::Nothing,
+            "it is silent already"
+        );
+        assert!(s.sign(id(2), 0, 2_000 * MS), "one sign ends it");
+        assert!(!s.silent(0) && s.trials(9_000 * MS).is_empty());
+        assert_eq!(s.unanswered(id(5), (0, true), 50, 3_000 * MS, 0.0), Verdict::Server(1));
+        assert_eq!(
+            s.unanswered(id(6), (0, true), 50, 3_000 * MS, 0.0),
+            Verdict::Zone,
+            "two are enough of late"
+        );
+        s.sign(id(5), 0, 4_000 * MS);
+        assert_eq!(
+            s.unanswered(id(5), (0, true), 50, 4_000 * MS + OF_LATE, 0.0),
+            Verdict::Server(2),
+            "later again not"
+        );
+    }
+
+    #[test]
+    fn another_zone_is_tried_less_often_and_no_witness_is_asked_twice() {
+        let mut s = Silence::default();
+        (1..=3).for_each(|n| _ = s.unanswered(id(n), (0, false), 50, 0, 0.999));
+        assert_eq!(s.trials(TRIALS.0 * 4), []);
+        assert_eq!(s.trials(TRIALS.0 * TRIALS_AWAY), [0]);
+        s.sign(id(1), 0, 9_000 * MS);
+        (1..=3).for_each(|n| s.sent(id(n), 1, 0));
+        s.sent(id(4), 2, 0);
+        assert_eq!(s.suspects(100 * MS, 50 * MS, 0), [id(1)], "zone 2 owes one answer alone");
+        s.suspects(200 * MS, 50 * MS, 0);
+        assert_eq!(
+            s.unanswered(id(1), (1, true), 50, 400 * MS, 0.0),
+            Verdict::Server(0),
+            "two are asked already"
+        );
+    }
+
+    #[test]
+    fn a_refused_connection_is_a_sign_and_one_that_never_came_up_is_not() {
+        assert_eq!(gave_sign(Outcome::ConnectFailed, 20 * MS), Some(true));
+        assert_eq!(gave_sign(Outcome::ConnectFailed, 200 * MS), Some(false));
+        assert_eq!(gave_sign(Outcome::Error, 5_000 * MS), Some(true), "however late");
+        assert_eq!(gave_sign(Outcome::Cancelled, 5_000 * MS), None, "our own doing");
+    }
+}
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -69,6 +69,20 @@
         (self.last, self.request.id)
     }
 
+    /// The attempt out where `nothing` is heard, if the request may go elsewhere instead: it is not on its way to the
+    /// client, repeats are harmless wherever they run, and tries are left.
+    pub fn stranded(
+        &self,
+        class: &ClassSettings,
+        limits: &Limits,
+        nothing: impl Fn(&Attempt) -> bool,
+    ) -> Option<u32> {
+        let harmless = matches!(class.effect, Effect::Free | Effect::Guarded { group: Group::All, .. });
+        let moves = harmless && !self.done && !self.streaming && self.tries_left(limits);
+        let out = self.attempts.iter().rposition(|a| a.outcome.is_none() && nothing(a));
+        out.filter(|_| moves).map(|n| n as u32)
+    }
+
     pub fn tries_left(&self, limits: &Limits) -> bool {
         self.attempts.len() < limits.most_tries as usize
     }
@@ -156,6 +170,21 @@
     }
 }
 
+impl Node {
+    /// Part of its capacity that it surely has: grows evenly from `cold_share` after a start.
+    pub fn warmth(&self, now: Micros, safety: &Safety) -> f64 {
+        let (first, over) = (safety.cold_share, safety.cold.max(1) as f64);
+        let age = self.server.started.map_or(1.0, |at| now.saturating_sub(at) as f64 / over);
+        (first + (1.0 - first) * age).min(1.0)
+    }
+
+    /// Size against the mean, where the list tells sizes; momentary load in it is not wanted.
+    pub fn size(&self, settings: &Settings, mean: f64) -> f64 {
+        let told = settings.sizes == SizeMeaning::Capacity && self.server.size > 0.0;
+        if told { (self.server.size / mean).clamp(0.2, 5.0) } else { 1.0 }
+    }
+}
+
 /// Running estimates of a class's latency quantiles.
 #[derive(Clone)]
 pub(crate) struct Usual {
--- a/crates/balancer/tests/decisions.rs
+++ b/crates/balancer/tests/decisions.rs
@@ -541,6 +541,34 @@
     assert_eq!(far_sends(&calm), 0);
 }
 
+/// 300 agents before 200 servers: each hears of four or five of its zone's fifty, and the other limits, as they were
+/// at first, kept the zone open while its servers choked (service 0.08 where 60 agents had 0.86).
+#[test]
+fn limits_of_servers_never_heard_of_do_not_keep_a_full_zone_open() {
+    let sends = |latency| {
+        let class = ClassSettings { deadline: 10 * SECOND, ..class(Effect::Free) };
+        let penalties = Penalties { cross_zone: 0.2, waste: 0.0, late_fail: 0.0 };
+        let mut d = Driver::new(Settings { balancers: 300, penalties, ..settings(vec![class]) });
+        d.list(Scope::Complete, (0..200).map(|n| server(n, n as usize / 100)).collect());
+        let mut settled = 0;
+        for n in 0..200 {
+            d.request_until(n, 0, d.now + 10 * SECOND);
+            for _ in 0..5 {
+                d.pass(10 * MS);
+                while let Some(&(_, id, attempt, _)) = d.sends.get(settled).filter(|s| s.0 + latency <= d.now)
+                {
+                    settled += 1;
+                    d.settle(id, attempt, Outcome::Ok);
+                }
+            }
+        }
+        d.sends.len()
+    };
+    assert_eq!(sends(20 * MS), 200, "a calm zone takes all");
+    let late = sends(200 * MS);
+    assert!(late <= 100, "{late} sends of 200 though every answer comes at its aim");
+}
+
 #[test]
 fn servers_out_of_reach_are_not_all_tried_by_each_of_very_many_agents() {
     let d = one_of_very_many(8, |_| (Outcome::ConnectFailed, 150 * MS));
--- a/crates/proxy/src/config.rs
+++ b/crates/proxy/src/config.rs
@@ -41,6 +41,10 @@
 /// What the file may change without a restart, or what says nothing after the start.
 const NO_RESTART: [&str; 3] = ["discovery", "known", "seed"];
 
+/// What to do next where nothing is told.
+const NO_CONFIG: &str = "GW_CONFIG is not set: set it to the path of the proxy's JSON file \
+    (docs/operators/configuration.md), or see proxies at work with `cargo run --release -p ironmast-lab -- demo`";
+
 /// The file as it is written.
 #[derive(Deserialize)]
 struct File {
@@ -68,7 +72,7 @@
 impl Config {
     /// Reads it all; `env` looks up a variable. An error is one plain line.
     pub fn read(env: impl Fn(&str) -> Option<String>) -> Result<Config, String> {
-        let path = env("GW_CONFIG").ok_or("GW_CONFIG is not set")?;
+        let path = env("GW_CONFIG").ok_or(NO_CONFIG)?;
         let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
         let mut all: Value = serde_json::from_str(&text).map_err(|e| format!("{path}: {e}"))?;
         let file = File::deserialize(&all).map_err(|e| format!("{path}: {e}"))?;
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -22,6 +22,8 @@
 const ANSWER: Duration = Duration::from_millis(4_000);
 /// A line comes every 2 s: guards against cut links, which give no sign.
 const SILENCE: Duration = Duration::from_millis(3_000);
+/// Where lists are pushed, what the agent has counts as told at once: a watch that ended is opened again after this.
+const PUSHED_AGAIN: Duration = Duration::from_millis(100);
 /// A list takes no more than this.
 const LIST_MOST: usize = 4 << 20;
 
@@ -57,6 +59,51 @@
     }
 }
 
+/// Takes the objects of a stream apart, whatever lines they stand on: guards against lists that come indented.
+/// Each byte is looked at once.
+#[derive(Default)]
+struct Objects {
+    text: Vec<u8>,
+    looked: usize,
+    depth: usize,
+    quoted: bool,
+    escaped: bool,
+}
+
+impl Objects {
+    fn push(&mut self, part: &[u8]) {
+        self.text.extend_from_slice(part);
+    }
+
+    fn len(&self) -> usize {
+        self.text.len()
+    }
+
+    /// The next object that has come whole. What begins none ends with its line and is handed out as well: who
+    /// reads it finds fault with it.
+    fn next(&mut self) -> Option<Vec<u8>> {
+        while let Some(&byte) = self.text.get(self.looked) {
+            self.looked += 1;
+            match byte {
+                _ if self.escaped => self.escaped = false,
+                b'\\' if self.quoted => self.escaped = true,
+                b'"' if self.depth > 0 => self.quoted = !self.quoted,
+                _ if self.quoted => {}
+                b'{' => self.depth += 1,
+                b'}' => self.depth = self.depth.saturating_sub(1),
+                _ => {}
+            }
+            if self.depth == 0 && matches!(byte, b'}' | b'\n') {
+                let object: Vec<u8> = self.text.drain(..std::mem::take(&mut self.looked)).collect();
+                if !object.trim_ascii().is_empty() {
+                    return Some(object);
+                }
+            }
+        }
+        None
+    }
+}
+
 /// The number of a zone; one that is not in the settings gets the next.
 fn zone(zones: &mut Vec<String>, name: &str) -> usize {
     zones.iter().position(|z| z == name).unwrap_or_else(|| {
@@ -71,6 +118,8 @@
     client: Client,
     zones: Vec<String>,
     rev: Option<u64>,
+    /// Lists are pushed: what the agent has counts as told from the first moment on, asked for or not.
+    pub pushed: bool,
     log: Logger,
     queue: Queue,
 }
@@ -78,7 +127,7 @@
 impl Discovery {
     /// A client that holds nothing yet.
     pub fn new(address: SocketAddr, client: Client, zones: Vec<String>, log: Logger, queue: Queue) -> Self {
-        Discovery { address, client, zones, rev: None, log, queue }
+        Discovery { address, client, zones, rev: None, pushed: false, log, queue }
     }
 
     /// Tells the list that was held before this start; even an empty one sets the module going.
@@ -95,13 +144,16 @@
     /// Does what is asked until nobody can ask any more. Asked again, or interrupted by a fetch, the watch
     /// begins anew from the version held.
     pub async fn run(mut self, mut asks: mpsc::UnboundedReceiver<Ask>) {
-        let mut watching = false;
+        let mut watching = self.pushed;
         loop {
             let ask = tokio::select! {
                 ask = asks.recv() => ask,
                 why = self.watch(), if watching => {
-                    watching = false;
+                    watching = self.pushed;
                     self.failed(&why);
+                    if watching {
+                        tokio::time::sleep(PUSHED_AGAIN).await;
+                    }
                     continue;
                 }
             };
@@ -124,8 +176,8 @@
         self.queue.say(Message::Listed(News { scope, rev, entries }));
     }
 
-    fn tell(&mut self, line: &[u8]) -> Result<(), String> {
-        let value: Value = serde_json::from_slice(line).map_err(|e| format!("a malformed list: {e}"))?;
+    fn tell(&mut self, text: &[u8]) -> Result<(), String> {
+        let value: Value = serde_json::from_slice(text).map_err(|e| format!("a malformed list: {e}"))?;
         let list = List::read(&value).ok_or("a malformed list")?;
         self.rev = Some(list.rev);
         let scope = if list.all { Scope::Complete } else { Scope::Changes };
@@ -172,7 +224,7 @@
             Ok(answer) => answer,
             Err(why) => return why,
         };
-        let (mut text, mut first) = (Vec::<u8>::new(), true);
+        let (mut text, mut first) = (Objects::default(), true);
         loop {
             let part = match timeout(if first { ANSWER } else { SILENCE }, answer.next()).await {
                 Err(_) => return "the watch is silent".to_string(),
@@ -181,12 +233,9 @@
                 Ok(Some(Ok(part))) => part,
             };
             first = false;
-            text.extend_from_slice(&part);
-            while let Some(end) = text.iter().position(|&b| b == b'\n') {
-                let line: Vec<u8> = text.drain(..=end).collect();
-                if !line.trim_ascii().is_empty()
-                    && let Err(why) = self.tell(&line)
-                {
+            text.push(&part);
+            while let Some(list) = text.next() {
+                if let Err(why) = self.tell(&list) {
                     return why;
                 }
             }
@@ -196,3 +245,31 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn objects(text: &str, pieces: usize) -> Vec<String> {
+        let mut objects = Objects::default();
+        let mut found = Vec::new();
+        for piece in text.as_bytes().chunks(pieces) {
+            objects.push(piece);
+            while let Some(object) = objects.next() {
+                found.push(String::from_utf8(object).expect("text").trim().to_string());
+            }
+        }
+        assert!(objects.text.trim_ascii().is_empty(), "left: {:?}", objects.text);
+        found
+    }
+
+    #[test]
+    fn lists_are_found_whatever_lines_and_pieces_they_come_in() {
+        let indented = "{\n  \"rev\": 7,\n  \"targets\": [\n    {\"uid\": \"a}\\\"{\"}\n  ]\n}";
+        let text = format!("\n\n{indented}\n\n{{\"rev\":8}}{{\"rev\":9}}\n");
+        for pieces in [1, 2, 7, 1_000] {
+            assert_eq!(objects(&text, pieces), [indented, "{\"rev\":8}", "{\"rev\":9}"]);
+        }
+        assert_eq!(objects("non\"sense\n{}\n", 3), ["non\"sense", "{}"]);
+    }
+}
--- a/crates/proxy/src/serve.rs
+++ b/crates/proxy/src/serve.rs
@@ -84,6 +84,7 @@
     let zones = setup.zones.clone();
     let mut discovery = Discovery::new(config.discovery, client, zones, log.clone(), queue.clone());
     discovery.recall(known.as_ref());
+    discovery.pushed = setup.settings.discovery == ironmast_balancer::Discovery::Pushed;
     actix_rt::spawn(discovery.run(asks));
 
     let rules = upstream::Rules { connect, keepalive, load: setup.load.clone() };
--- a/crates/proxy/tests/exchanges.rs
+++ b/crates/proxy/tests/exchanges.rs
@@ -62,6 +62,35 @@
     }
 }
 
+/// Where lists are pushed, what the agent has counts as told from a process's first moment on, and right after an
+/// outage: the watch is opened without being asked for, and again as soon as it ends. The list comes indented.
+#[test]
+fn pushed_lists_are_heard_from_the_first_moment_and_again_right_after_an_outage() {
+    let agent = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = agent.local_addr().expect("bound").to_string();
+    let config = ironmast_stage::CONFIG.replace("{discovery}", &at);
+    let config = config.replace("\"discovery\":\"subscribe\"", "\"discovery\":\"automatic\"");
+    let (child, _file) = start(&config);
+    let mut child = Running(child);
+    let mut log = BufReader::new(child.0.stderr.take().expect("piped"));
+    let list = "{\n \"rev\": 4,\n \"all\": true,\n \"targets\": [\n  {\"uid\": \"s-1\", \"endpoint\": \"127.0.0.1:9\",\n   \
+        \"az\": \"seattle\", \"state\": \"up\", \"boot_ms\": 0}\n ]\n}\n";
+    let began = std::time::Instant::now();
+    for outage in [false, true] {
+        let (mut stream, _) = agent.accept().expect("a watch");
+        let mut head = [0; 4096];
+        let read = stream.read(&mut head).expect("a head");
+        assert!(String::from_utf8_lossy(&head[..read]).contains("stream=1"), "a watch");
+        let answer =
+            format!("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{list}\r\n", list.len());
+        stream.write_all(answer.as_bytes()).expect("written");
+        if outage {
+            wait_log(&mut log, "list told: Complete, held: 1");
+        }
+    }
+    assert!(began.elapsed() < PATIENCE, "both without being asked for");
+}
+
 #[test]
 fn the_log_is_json_where_that_is_asked_for() {
     let file = tempfile::NamedTempFile::new().expect("a file");
--- a/crates/proxy/tests/streams.rs
+++ b/crates/proxy/tests/streams.rs
@@ -59,11 +59,16 @@
 }
 
 /// A pay server that answers what `answer` says: told the head and the body (none where it broke off), it writes.
+/// Probes are answered and are no requests.
 fn server(answer: impl Fn(&TcpStream, &str, Option<Vec<u8>>) -> bool + Send + Sync + 'static) -> SocketAddr {
     listen(move |stream| {
         let mut reader = BufReader::new(stream.try_clone().expect("a handle"));
         while let Some(head) = head(&mut reader) {
             let body = body(&mut reader, &head);
+            if head.starts_with("GET /stats") {
+                let _ = (&stream).write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n");
+                continue;
+            }
             if !answer(&stream, &head, body) {
                 return;
             }
--- a/crates/stage/src/expect.rs
+++ b/crates/stage/src/expect.rs
@@ -226,7 +226,7 @@
         }
         let zone = expect("[[span]]\nfrom_s = 0.0\nto_s = 6.0\nzone = \"a-b\"\nruns = 0.9");
         assert!(zone.missed(std::slice::from_ref(&good), &home).is_empty());
-        assert_eq!(zone.missed(&[good.clone()], &away).len(), 1);
+        assert_eq!(zone.missed(std::slice::from_ref(&good), &away).len(), 1);
         assert_eq!(zone.missed(&[good], &[]).len(), 1, "of no runs nothing holds");
         let never: Vec<Sent> = (0..9).map(|n| sent(n * 100, Outcome::Failed)).collect();
         assert_eq!(Expect::default().missed(&[never], &[]).len(), 1, "nothing was served");
--- a/crates/stage/src/scenario.rs
+++ b/crates/stage/src/scenario.rs
@@ -193,7 +193,7 @@
     }
     for slow in &scenario.slow {
         let times = slow.at_s >= 0.0 && slow.for_s > 0.0 && slow.at_s + slow.for_s <= scenario.length_s;
-        if !times || !(slow.factor > 0.0 && slow.factor <= 1e3) {
+        if !(times && slow.factor > 0.0 && slow.factor <= 1e3) {
             return Err(format!(
                 "{from}: slow: seconds inside the load and a factor of at most 1000 expected"
             ));
