An answer no longer walks all open requests to move none of them

Cause, found on rereading: heard() looked at every open request for each sign and took none of them, and settled() looked its server up for each outcome though only a reset needs it. Change: only a lack of signs walks the open requests; the look-up is made for resets alone. Stage: a run's reports are taken, not copied; the lab's page header no longer repeats the scenario's form. Its cost was not timed.

--- a/crates/balancer/src/balance.rs
+++ b/crates/balancer/src/balance.rs
@@ -382,7 +382,8 @@
         out.extend(found.log.map(Action::Log));
         out.extend(found.ask.into_iter().map(|server| Action::Probe { server }));
         let (limits, silence) = (&self.settings.limits, &self.silence);
-        for (&id, open) in self.open.iter().filter(|_| !sign && limits.cancel) {
+        // Only a lack of signs looks at all requests: answers are many.
+        for (&id, open) in self.open.iter().take(if sign || !limits.cancel { 0 } else { self.open.len() }) {
             let (class, usual) =
                 (&self.settings.classes[open.request.class], &self.usual[open.request.class]);
             let nothing = |a: &Attempt| a.server == server || silence.silent(a.zone);
@@ -612,8 +613,8 @@
             let sign = silence::gave_sign(e.outcome, e.latency);
             sign.into_iter().for_each(|sign| self.heard(e.server, sign, out));
             // Two in a row: guards those that may not repeat, for a dead process resets and then refuses.
-            let again = self.fleet.get(e.server).is_some_and(|n| n.failing > EJECT_AT / 4.0);
-            let broke = e.outcome == Outcome::Reset && again && self.settings.limits.probes;
+            let reset = e.outcome == Outcome::Reset && self.settings.limits.probes;
+            let broke = reset && self.fleet.get(e.server).is_some_and(|n| n.failing > EJECT_AT / 4.0);
             out.extend(broke.then_some(Action::Probe { server: e.server }));
         }
         let Some(open) = self.open.get(&e.id) else { return };
--- a/crates/lab/src/stage.rs
+++ b/crates/lab/src/stage.rs
@@ -1,7 +1,6 @@
 //! `ironmast-lab stage` and `demo`: a stage scenario played with real proxies, a table a second, one verdict.
 //!
-//! A stage scenario (`scenarios/stage/`) names zones and their pay servers, the proxies, a load on each proxy, the
-//! faults on links (`[[fault]]`, as in `ironmast_stage::fault`) and signals to proxies (`[[signal]]`).
+//! What a scenario (`scenarios/stage/`) says and how it is played: `ironmast_stage::scenario`.
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
--- a/crates/stage/src/scenario.rs
+++ b/crates/stage/src/scenario.rs
@@ -298,9 +298,9 @@
             std::thread::sleep(Duration::from_millis(10));
         }
     });
-    let sent: Vec<Vec<Request>> = reports.iter().map(|r| r.sent.clone()).collect();
     let mut latency = Histogram::new_with_bounds(1, 60_000_000, 3).expect("valid bounds");
     reports.iter().for_each(|r| latency.add(&r.latency).expect("same bounds"));
+    let sent: Vec<Vec<Request>> = reports.into_iter().map(|r| r.sent).collect();
     let runs = stage.record.runs();
     let verdict = verdict::judge(&sent.concat(), &runs, &["balance"]);
     let missed = scenario.expect.missed(&sent, &runs);
