What has not begun does not begin once it is over or its window has passed

Change: Action::Send has begin_by, asked for before the first byte, and told to the client at once (Outcome::Moot); Order::Over ends attempts that have written nothing; waits after failures are bounded by TOLD (6 s). Tests, each seen to fail without its guard: exchanges window_over, left_connecting, copy_loses (a listener that lets no connection come up, crates/stage/src/backlog.rs); upstream.rs nothing_is_begun_once_the_window_of_its_class_is_over; decisions.rs after_any_number_of_failures_discovery_is_asked_within_half_of_told.

--- a/crates/balancer/src/api.rs
+++ b/crates/balancer/src/api.rs
@@ -114,6 +114,10 @@
     Subscribed,
 }
 
+/// What discovery has to tell counts as told so long after it could be reached, whatever failed meanwhile: the
+/// platform's figure, the same for every deployment.
+pub const TOLD: Micros = 6_000_000;
+
 /// Everything a balancer is told at its start.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -499,6 +503,9 @@
         server: ServerId,
         /// Time-out of the attempt; `None` lasts until the client gives up.
         timeout: Option<Micros>,
+        /// Clock reading from which on it must not begin any more: a repeat of a keyed class, once its window is
+        /// over. An attempt that has not written its first byte by then ends as [`Outcome::Moot`].
+        begin_by: Option<Micros>,
     },
     /// Final answer: turned away; trying again is harmless.
     Refuse {
--- a/crates/balancer/src/balance.rs
+++ b/crates/balancer/src/balance.rs
@@ -171,15 +171,15 @@
     }
 
     fn members(&mut self, listing: Listing, out: &mut Vec<Action>) {
-        let within = self.settings.safety.ask_within;
+        // A failure keeps the list. Asked again ever later, agents apart; wait and a call's turn fit `TOLD`.
+        let longest = (self.settings.safety.ask_within / ASK_AGAIN.1).min(TOLD / 4);
         if listing.scope == Scope::Failed {
-            // Discovery is out of reach: keep the list, ask again later and later, agents at different times.
-            self.ask_at = Some(self.now + (self.ask_wait as f64 * (0.5 + self.rng.unit())) as Micros);
-            self.ask_wait = (self.ask_wait * 2).min(within / ASK_AGAIN.1);
+            let wait = self.ask_wait.min(longest) as f64 * (0.5 + self.rng.unit());
+            (self.ask_at, self.ask_wait) = (Some(self.now + wait as Micros), longest.min(self.ask_wait * 2));
             return;
         }
         if listing.scope != Scope::Cached {
-            (self.ask_at, self.ask_wait) = (None, within / ASK_AGAIN.0);
+            (self.ask_at, self.ask_wait) = (None, self.settings.safety.ask_within / ASK_AGAIN.0);
         }
         self.fleet.keep(&listing);
         for server in listing.servers {
@@ -381,11 +381,10 @@
         let found = self.silence.heard(&self.fleet, server, sign, self.now, &mut self.rng);
         out.extend(found.log.map(Action::Log));
         out.extend(found.ask.into_iter().map(|server| Action::Probe { server }));
-        let (limits, silence) = (&self.settings.limits, &self.silence);
+        let (Settings { limits, classes, .. }, silence) = (&self.settings, &self.silence);
         // Only a lack of signs looks at all requests: answers are many.
         for (&id, open) in self.open.iter().take(if sign || !limits.cancel { 0 } else { self.open.len() }) {
-            let (class, usual) =
-                (&self.settings.classes[open.request.class], &self.usual[open.request.class]);
+            let (class, usual) = (&classes[open.request.class], &self.usual[open.request.class]);
             let nothing = |a: &Attempt| a.server == server || silence.silent(a.zone);
             let useful = self.now + (usual.median as Micros) < open.aim_at;
             let stranded = open.stranded(class, limits, nothing).filter(|_| useful);
@@ -568,8 +567,9 @@
         let Some((zone, cell, timeout)) = sent else { return };
         self.silence.sent(server, zone, now);
         self.held.remove(&open.turn);
+        let begin_by = open.begin_by(self.settings.classes[class].effect);
         open.attempts.push(Attempt { server, zone, cell, sent: now, outcome: None });
-        out.push(Action::Send { id, server, timeout });
+        out.push(Action::Send { id, server, timeout, begin_by });
         if open.attempts.len() == 1 && self.settings.limits.may_duplicate {
             self.due.insert((now + self.usual[class].high as Micros, id));
         }
--- a/crates/balancer/src/state.rs
+++ b/crates/balancer/src/state.rs
@@ -83,6 +83,13 @@
         out.filter(|_| moves).map(|n| n as u32)
     }
 
+    /// Until when one more attempt may begin: a keyed class's repeats are dropped for its window, counted from the
+    /// first attempt that may have run.
+    pub fn begin_by(&self, effect: Effect) -> Option<Micros> {
+        let Effect::Guarded { window, .. } = effect else { return None };
+        self.attempts.iter().filter(|a| a.may_have_run()).map(|a| a.sent + window).min()
+    }
+
     pub fn tries_left(&self, limits: &Limits) -> bool {
         self.attempts.len() < limits.most_tries as usize
     }
--- a/crates/balancer/tests/decisions.rs
+++ b/crates/balancer/tests/decisions.rs
@@ -957,6 +957,24 @@
     assert!((0..20).all(|n| d.serve(n, 0, 5 * MS) != id(4)), "the list is kept meanwhile");
 }
 
+/// Whatever failed before, discovery is asked again so soon that a call which waits its turn there, for half of `TOLD`
+/// at most, is answered within `TOLD` of its return.
+#[test]
+fn after_any_number_of_failures_discovery_is_asked_within_half_of_told() {
+    for ask_within in [3 * SECOND, 10 * SECOND, 60 * SECOND] {
+        let mut s = settings(free());
+        (s.discovery, s.safety.ask_within) = (Discovery::Subscribed, ask_within);
+        let mut d = Driver::new(s);
+        d.list(Scope::Cached, fleet());
+        for failure in 0..40 {
+            let asked = d.subscribed.len();
+            d.list(Scope::Failed, vec![]);
+            d.pass(TOLD / 2);
+            assert!(d.subscribed.len() > asked, "{ask_within} us: not asked after failure {failure}");
+        }
+    }
+}
+
 #[test]
 fn the_same_events_bring_the_same_actions() {
     let run = || {
--- a/crates/drill/src/lib.rs
+++ b/crates/drill/src/lib.rs
@@ -414,7 +414,7 @@
         };
         // Writing to a String cannot fail.
         let _ = match action {
-            Action::Send { id, server, timeout } => {
+            Action::Send { id, server, timeout, .. } => {
                 writeln!(out, "SEND\t{who}\t{id}\t{}\t{}", name(server)?, timeout.unwrap_or(0))
             }
             Action::Refuse { id, retry_after } => {
@@ -469,8 +469,8 @@
         instance.servers.insert(server, "b:1".to_string());
         let data = vec![0x0a, 0xff];
         for (action, text) in [
-            (Action::Send { id: 9, server, timeout: Some(5) }, "SEND\t3\t9\tb:1\t5\n"),
-            (Action::Send { id: 9, server, timeout: None }, "SEND\t3\t9\tb:1\t0\n"),
+            (Action::Send { id: 9, server, timeout: Some(5), begin_by: None }, "SEND\t3\t9\tb:1\t5\n"),
+            (Action::Send { id: 9, server, timeout: None, begin_by: None }, "SEND\t3\t9\tb:1\t0\n"),
             (Action::Refuse { id: 9, retry_after: None }, "NOT_NOW\t3\t9\t0\n"),
             (Action::Fail { id: 9 }, "END_FAILED\t3\t9\n"),
             (Action::Cancel { id: 9, attempt: 1 }, "REVOKE\t3\t9\t1\n"),
--- a/crates/emulator/src/policy.rs
+++ b/crates/emulator/src/policy.rs
@@ -318,7 +318,7 @@
         known.out += 1;
         known.sent_at = now;
         open.sent.push(Sent { server, zone: known.server.zone, at: now, outcome: None });
-        out.push(Action::Send { id, server, timeout: None });
+        out.push(Action::Send { id, server, timeout: None, begin_by: None });
     }
 
     /// Gives up: refused where nothing can have run, else failed.
--- a/crates/emulator/src/world.rs
+++ b/crates/emulator/src/world.rs
@@ -940,7 +940,7 @@
 
     fn act(&mut self, proxy: u32, action: Action, pending: &mut VecDeque<Event>) {
         match action {
-            Action::Send { id, server, timeout } => self.send(proxy, id, server, timeout, pending),
+            Action::Send { id, server, timeout, .. } => self.send(proxy, id, server, timeout, pending),
             Action::Refuse { id, retry_after } => self.answer(proxy, id, End::Refused(retry_after)),
             Action::Fail { id } => self.answer(proxy, id, End::Failed),
             Action::Cancel { id, attempt } => {
--- a/crates/emulator/tests/judge.rs
+++ b/crates/emulator/tests/judge.rs
@@ -88,7 +88,7 @@
         if let Some(server) = self.next() {
             *self.tries.entry(id).or_default() += 1;
             // Short of patience, so that more is tried than a careful policy would.
-            out.push(Action::Send { id, server, timeout: Some(150_000) });
+            out.push(Action::Send { id, server, timeout: Some(150_000), begin_by: None });
         }
     }
 }
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -136,6 +136,7 @@
                     && let Some(open) = self.open.get_mut(&id)
                 {
                     open.reply = None;
+                    let _ = self.orders.upstream.send(Order::Over(id));
                     self.event(Event::HungUp { id });
                     self.forget(id);
                 }
@@ -313,6 +314,9 @@
                 Answer::Failed => "failed",
             });
             self.ids.remove(&open.ticket);
+            if open.out() {
+                let _ = self.orders.upstream.send(Order::Over(id));
+            }
             // A client that left in this moment has told so or will; the queue holds it.
             let _ = reply.send(answer);
         }
@@ -338,7 +342,7 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { id, server, timeout } => self.send(id, server, timeout),
+            Action::Send { id, server, timeout, begin_by } => self.send(id, server, timeout, begin_by),
             Action::Refuse { id, retry_after } => {
                 self.answer(id, Answer::Refused(retry_after));
                 self.forget(id);
@@ -363,7 +367,7 @@
         }
     }
 
-    fn send(&mut self, id: RequestId, server: ServerId, timeout: Option<Micros>) {
+    fn send(&mut self, id: RequestId, server: ServerId, timeout: Option<Micros>, begin_by: Option<Micros>) {
         let now = self.clock.now();
         let Some(open) = self.open.get_mut(&id) else {
             warn!(self.log, "a send for a request that is over"; "request" => id);
@@ -392,7 +396,14 @@
         let timeout = timeout.filter(|_| open.payload.flow().is_none());
         let until = timeout.map_or(open.expires, |t| open.expires.min(now + t));
         let payload = Rc::clone(&open.payload);
-        let _ =
-            self.orders.upstream.send(Order::Send(Attempt { id, number, server, address, until, payload }));
+        let _ = self.orders.upstream.send(Order::Send(Attempt {
+            id,
+            number,
+            server,
+            address,
+            until,
+            begin_by,
+            payload,
+        }));
     }
 }
--- a/crates/proxy/src/message.rs
+++ b/crates/proxy/src/message.rs
@@ -98,6 +98,8 @@
     pub address: SocketAddr,
     /// Clock reading at which waiting ends.
     pub until: Micros,
+    /// Clock reading from which on it must not begin any more.
+    pub begin_by: Option<Micros>,
     /// What to send.
     pub payload: Rc<Payload>,
 }
@@ -156,6 +158,8 @@
     Send(Attempt),
     /// Stop waiting for one.
     Cancel(RequestId, u32),
+    /// The request is over, answered or left by its client: attempts at it that have not begun don't begin.
+    Over(RequestId),
     /// Probe a pay server.
     Probe(ServerId, SocketAddr),
     /// Close the idle connections to it.
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -53,6 +53,15 @@
     flows: Cell<bool>,
     server: Option<ServerId>,
     retired: Retired,
+    /// From when on its first byte is not written any more.
+    begin_by: Option<(Clock, Micros)>,
+}
+
+impl Writing {
+    /// Whether it has not begun by the moment from which on it must not.
+    fn too_late(&self) -> bool {
+        self.bytes.get() == 0 && self.begin_by.is_some_and(|(clock, by)| clock.now() >= by)
+    }
 }
 
 /// Who takes nothing new, and since when.
@@ -67,13 +76,18 @@
 
 impl Tap for Meter {
     fn may_write(&self) -> io::Result<()> {
-        let late = |w: &Rc<Writing>| {
-            w.bytes.get() == 0 && w.server.is_some_and(|s| w.retired.borrow().contains_key(&s))
-        };
-        match WRITING.try_with(late) {
+        let refusal = |w: &Rc<Writing>| match w.bytes.get() {
             // Guards rule 3: the drain was heard between the decision and this first byte.
-            Ok(true) => Err(io::Error::new(io::ErrorKind::NotConnected, "the server takes nothing new")),
-            _ => Ok(()),
+            0 if w.server.is_some_and(|s| w.retired.borrow().contains_key(&s)) => {
+                Some("it takes nothing new")
+            }
+            // Guards rule 2: a connection that comes up late would carry a repeat past its window.
+            0 if w.too_late() => Some("the window of its class is over"),
+            _ => None,
+        };
+        match WRITING.try_with(refusal).ok().flatten() {
+            Some(why) => Err(io::Error::new(io::ErrorKind::NotConnected, why)),
+            None => Ok(()),
         }
     }
 
@@ -136,7 +150,8 @@
     queue: Queue,
     clients: Rc<RefCell<Clients>>,
     retired: Retired,
-    out: BTreeMap<(RequestId, u32), oneshot::Sender<()>>,
+    /// Of each attempt that is out: what ends it, and what it has written.
+    out: BTreeMap<(RequestId, u32), (oneshot::Sender<()>, Rc<Writing>)>,
 }
 
 impl Upstream {
@@ -161,6 +176,12 @@
             match order {
                 Order::Send(attempt) => self.send(attempt),
                 Order::Cancel(id, number) => drop(self.out.remove(&(id, number))),
+                Order::Over(id) => {
+                    let begun = |&(of, _): &(RequestId, u32), writing: &Rc<Writing>| {
+                        of != id || writing.bytes.get() > 0
+                    };
+                    self.out.retain(|attempt, out| begun(attempt, &out.1));
+                }
                 Order::Probe(server, address) => self.probe(server, address),
                 Order::CloseIdle(server) => drop(self.clients.borrow_mut().remove(&server)),
                 Order::Retire(server) => {
@@ -190,12 +211,13 @@
     }
 
     fn send(&mut self, attempt: Attempt) {
-        self.out.retain(|_, cancel| !cancel.is_closed());
+        self.out.retain(|_, out| !out.0.is_closed());
         let (cancel, cancelled) = oneshot::channel::<()>();
-        self.out.insert((attempt.id, attempt.number), cancel);
         let client = self.client(attempt.server, attempt.address);
         let (server, retired) = (Some(attempt.server), Rc::clone(&self.retired));
-        let writing = Rc::new(Writing { server, retired, ..Writing::default() });
+        let begin_by = attempt.begin_by.map(|by| (self.clock, by));
+        let writing = Rc::new(Writing { server, retired, begin_by, ..Writing::default() });
+        self.out.insert((attempt.id, attempt.number), (cancel, Rc::clone(&writing)));
         let (clock, queue, names) = (self.clock, self.queue.clone(), self.rules.load.clone());
         let held = self.held.clone();
         actix_rt::spawn(async move {
@@ -210,6 +232,7 @@
                 biased;
                 ended = call => ended.unwrap_or_else(|()| {
                     let outcome = match writing.bytes.get() {
+                        0 if writing.too_late() => Outcome::Moot,
                         // Nothing written proves that it never ran; a part might be the whole.
                         0 => Outcome::ConnectFailed,
                         _ if writing.spoilt.get() => Outcome::Spoilt,
@@ -217,6 +240,7 @@
                     };
                     (outcome, nothing(), None)
                 }),
+                () = not_begun(&writing) => (Outcome::Moot, nothing(), None),
                 () = fallen_silent(&writing) => (Outcome::Spoilt, nothing(), None),
                 _ = cancelled => (Outcome::Cancelled, nothing(), None),
                 () = tokio::time::sleep_until(until) => (Outcome::Timeout, nothing(), None),
@@ -263,6 +287,17 @@
     Body::Whole(Bytes::new())
 }
 
+/// Returns if an attempt has not begun by the moment from which on it must not: its client is told at once.
+async fn not_begun(writing: &Writing) {
+    if let Some((clock, by)) = writing.begin_by {
+        tokio::time::sleep_until(clock.at(by).into()).await;
+        if writing.too_late() {
+            return;
+        }
+    }
+    std::future::pending().await
+}
+
 /// Returns once an answer that had begun has stopped short; until then, and once it flows, never.
 async fn fallen_silent(writing: &Writing) {
     writing.progress.notified().await;
@@ -329,6 +364,21 @@
 mod tests {
     use super::*;
 
+    /// A repeat whose connection comes up at the end of its window is not begun; one begun before it goes on.
+    #[test]
+    fn nothing_is_begun_once_the_window_of_its_class_is_over() {
+        let clock = Clock::start();
+        let writing = |by| Rc::new(Writing { begin_by: Some((clock, by)), ..Writing::default() });
+        let over = clock.now();
+        WRITING.sync_scope(writing(over), || assert!(Meter.may_write().is_err(), "its window is over"));
+        WRITING.sync_scope(writing(over + 3_600_000_000), || {
+            assert!(Meter.may_write().is_ok(), "there is time left");
+        });
+        let begun = writing(over);
+        begun.bytes.set(1);
+        WRITING.sync_scope(begun, || assert!(Meter.may_write().is_ok(), "the rest of one begun in time"));
+    }
+
     /// A drain heard between decision and first byte stops the write; a request begun before it is finished.
     #[test]
     fn nothing_new_is_written_to_a_retired_server() {
--- a/crates/proxy/tests/exchanges.rs
+++ b/crates/proxy/tests/exchanges.rs
@@ -24,6 +24,7 @@
 exchanges! {
     served bad_requests refused_connect resets broken_answer idle_closed cancelled drained removed ending turned_away
     watch_fails scarce crowded reload spoilt noisy unfinished replaced
+    window_over left_connecting copy_loses
 }
 
 #[test]
--- a/crates/proxy/tests/exchanges/player.rs
+++ b/crates/proxy/tests/exchanges/player.rs
@@ -7,13 +7,16 @@
 //! process at the same address. `proxy log TEXT` waits for a line of
 //! the log, `proxy tells TEXT` writes it down, `proxy term` sends SIGTERM, `proxy exit` waits for the end; `proxy reload TEXT` replaces the
 //! configuration (by one that names that party as discovery, or by the text itself) and sends SIGHUP;
-//! `proxy sockets N` starts it with that many descriptors. Nothing sleeps: all wait for bytes.
+//! `proxy sockets N` starts it with that many descriptors, `proxy with A B` with B for A in its configuration. `fill N` sends so many bytes that are no HTTP, `fin` waits for an orderly
+//! end where `eof` takes a reset as well; `hold` lets no connection to a server come up any more, `dialled`
+//! waits until one is asked for and `undialled` until none is. Nothing sleeps: all wait for bytes or the system's tables.
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::mpsc::channel;
+use std::time::Instant;
 
 use tempfile::NamedTempFile;
 
@@ -25,6 +28,7 @@
     log: BufReader<ChildStderr>,
     listen: String,
     listeners: BTreeMap<String, TcpListener>,
+    held: BTreeMap<String, ironmast_stage::backlog::Held>,
     open: BTreeMap<String, BufReader<TcpStream>>,
     said: String,
     rev: u64,
@@ -57,12 +61,17 @@
     let listeners: BTreeMap<String, TcpListener> = names.map(bind).into();
     let discovery = listeners["discovery"].local_addr().expect("bound").to_string();
     let sockets = script.lines().find_map(|line| line.strip_prefix("proxy sockets ")).unwrap_or("1024");
-    let config = config(&discovery).replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
+    let mut config = config(&discovery).replace("\"sockets\":1024", &format!("\"sockets\":{sockets}"));
+    for change in script.lines().filter_map(|line| line.strip_prefix("proxy with ")) {
+        let (from, to) = change.split_once(' ').expect("A B");
+        assert!(config.contains(from), "{from} is not in the configuration");
+        config = config.replace(from, to);
+    }
     let (child, config) = start(&config);
     let mut child = Running(child);
     let log = BufReader::new(child.0.stderr.take().expect("piped"));
-    let (listen, open, said) = Default::default();
-    let mut proxy = Proxy { child, config, log, listen, listeners, open, said, rev: 0 };
+    let (listen, held, open, said) = Default::default();
+    let mut proxy = Proxy { child, config, log, listen, listeners, held, open, said, rev: 0 };
     let serving = wait_log(&mut proxy.log, "listen: ");
     let address = |text: &str| text.split(|c: char| !"0123456789.:".contains(c)).next().map(str::to_string);
     proxy.listen = serving.split_once("listen: ").and_then(|(_, rest)| address(rest)).expect("an address");
@@ -78,7 +87,7 @@
         let (party, verb) = (words.next().expect("a party"), words.next().expect("a verb"));
         let text = words.next().unwrap_or("");
         match (party, verb) {
-            ("proxy", "sockets") => {}
+            ("proxy", "sockets" | "with") => {}
             ("proxy", "log") => drop(wait_log(&mut self.log, text)),
             ("proxy", "tells") => {
                 let line = wait_log(&mut self.log, text);
@@ -111,6 +120,29 @@
                 self.said += &format!("{party}: {message}\n");
             }
             (_, "close") => drop(self.open.remove(party)),
+            (_, "fill") => {
+                let bytes = vec![b'#'; text.parse().expect("a number")];
+                self.stream(party).get_mut().write_all(&bytes).expect("written");
+            }
+            (_, "hold") => {
+                let held = ironmast_stage::backlog::Held::new(&self.listeners[party]).expect("held");
+                self.held.insert(party.to_string(), held);
+            }
+            (_, "dialled" | "undialled") => {
+                let held = &self.held[party];
+                let wanted = verb == "dialled";
+                let patience = Instant::now() + PATIENCE;
+                while held.is_dialled().expect("the system's table") != wanted {
+                    assert!(Instant::now() < patience, "{party}: not {verb} in time");
+                    std::thread::yield_now();
+                }
+            }
+            (_, "fin") => {
+                let end = self.stream(party).read(&mut [0]).expect("an orderly end");
+                assert_eq!(end, 0, "{party}: more came");
+                self.open.remove(party);
+                self.said += &format!("{party}: ended\n");
+            }
             (_, "refuse") => drop(self.listeners.remove(party)),
             (_, "eof") => {
                 let end = self.stream(party).read(&mut [0]).map_or(0, |bytes| bytes);
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`fault`]: the schedule of faults on links, without I/O;
 //! - [`relay`]: TCP relays that carry one link each under the schedule;
 //! - [`datagrams`]: a UDP relay between two proxies under the same schedule;
+//! - [`backlog`]: listeners to which connections come up late;
 //! - [`standin`]: pay servers with an execution record, and discovery;
 //! - [`process`]: proxies as processes, signalled by pid, measured from /proc;
 //! - [`load`]: open-loop clients, bounded, loopback only;
@@ -15,6 +16,7 @@
 
 #![forbid(unsafe_code)]
 
+pub mod backlog;
 pub mod datagrams;
 pub mod expect;
 pub mod fault;
