A client that sends much and leaves is seen to leave; half-read requests survive a drain

Cause: actix-http stops reading once what follows a request is no HTTP (READ_DISCONNECT) or over 128 KiB (read_available), so a client that left behind such bytes was never noticed and its waiting request was sent on: the exchanges left_flooding and left_muttering waited 18 minutes for "client left" on the program before. At the end of a drain a connection whose request was half read was cut (listener.rs, serve: not asked yet). Change: while a whole request waits, what its connection does not read is read and thrown away, its end noticed, and the answer closes the connection; the stream is shared for that (sockets.rs). At a drain a request begun is read to its end.

--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
 use std::io;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use actix_http::body::{BodyStream, BoxBody, SizedStream};
@@ -21,7 +21,7 @@
 use ironmast_operations::link;
 use ironmast_settings::Setup;
 use slog::{Logger, warn};
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Notify, oneshot, watch};
 
 use crate::bodies::{BODY_MOST, Body, HELD_MOST, Held, Inflow, PATIENCE, Pace, Paced, Parts};
@@ -82,6 +82,10 @@
     /// It has been answered before; bytes have come since.
     answered: Cell<bool>,
     begun: Cell<bool>,
+    /// A request of it has come to its last byte and waits: what follows is of no request that is open.
+    whole: Cell<bool>,
+    /// Some that nobody read has been thrown away.
+    spoilt: Cell<bool>,
     /// When bytes last came.
     moved: Cell<Micros>,
     /// When it came, was last written to, or began its next request. Without a whole head it is closed
@@ -102,6 +106,11 @@
 }
 
 impl Tap for Rc<Door> {
+    fn may_read(&self) -> bool {
+        // Guards against what comes behind a gap being taken for a request.
+        !self.spoilt.get()
+    }
+
     fn got(&self) {
         self.moved.set(self.clock.now());
         if !self.begun.replace(true) {
@@ -236,10 +245,22 @@
                 Ok((stream, _)) => {
                     number += 1;
                     let (asked, left, answered, begun, moved, close) = Default::default();
+                    let (whole, spoilt) = Default::default();
                     let (since, clock) = (Cell::new(self.clock.now()), self.clock);
                     let pace = Rc::new(Cell::new(Pace::new(0)));
-                    let door =
-                        Rc::new(Door { asked, left, answered, begun, moved, since, pace, close, clock });
+                    let door = Rc::new(Door {
+                        asked,
+                        left,
+                        answered,
+                        begun,
+                        whole,
+                        spoilt,
+                        moved,
+                        since,
+                        pace,
+                        close,
+                        clock,
+                    });
                     self.doors.borrow_mut().insert(number, Rc::clone(&door));
                     let stream = Tapped::new(stream, Rc::clone(&door), slot);
                     actix_rt::spawn(Rc::clone(&self).serve(number, door, stream));
@@ -271,6 +292,7 @@
                 drop(data.insert(Rc::clone(&io.tap)))
             })
             .h1(handler);
+        let unread = stream.watched();
         if let Ok(service) = service.new_service(()).await {
             let connection = service.call((stream, None));
             tokio::pin!(connection);
@@ -279,13 +301,23 @@
                 tokio::select! {
                     biased;
                     _ = &mut connection => break,
+                    // What the connection has not read by now it does not read: guards against clients that leave
+                    // behind what is no request, or more than is read.
+                    left = thrown_away(&unread), if door.whole.get() => match left {
+                        true => break,
+                        false => door.spoilt.set(true),
+                    },
                     // Guards against endless heads and bodies, and against clients that say nothing.
                     () = tokio::time::sleep_until(self.clock.at(look).into()) => {
                         if door.late_at().is_some_and(|late| self.clock.now() >= late) { break }
                     }
                     // actix-http does not drop a handler whose client has left: this does, and the drop of its
                     // `Waiting` tells the driver. Idle connections are closed here too.
-                    () = door.close.notified() => if door.left.get() || !door.asked.get() { break },
+                    () = door.close.notified() => {
+                        // Guards a request that is half read as the program ends: its client has the usual time.
+                        let taken = door.asked.get() || self.closing.get() && door.begun.get();
+                        if door.left.get() || !taken { break }
+                    }
                 }
             }
         }
@@ -295,7 +327,7 @@
         }
     }
 
-    /// Lets busy connections finish and closes idle ones, at once or, to linger, when they have been silent for
+    /// Lets busy connections and requests half read finish and closes idle ones, at once or, to linger, when they have been silent for
     /// as long as any may be; returns when none is left.
     pub async fn finish(&self, linger: bool) {
         self.closing.set(true);
@@ -323,7 +355,7 @@
                 response
             }
         };
-        if self.closing.get() || !*self.serving.borrow() || self.crowded() {
+        if self.closing.get() || door.spoilt.get() || !*self.serving.borrow() || self.crowded() {
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
         door.answered.set(true);
@@ -451,6 +483,7 @@
         }
         let (reply, answer) = oneshot::channel();
         let flow = payload.flow().cloned();
+        door.whole.set(flow.is_none());
         let arrival = Arrival { ticket, class, tenant, subject, client_retry, expires, payload, reply };
         self.queue.say(Message::Arrived(arrival));
         let mut waiting = Waiting { ticket, named, answered: false };
@@ -525,10 +558,27 @@
 impl Drop for Asked {
     fn drop(&mut self) {
         self.0.asked.set(false);
+        self.0.whole.set(false);
         self.0.since.set(self.0.clock.now());
     }
 }
 
+/// Waits until something has come that nobody reads, and throws it away; true once the client has left.
+async fn thrown_away(stream: &Weak<TcpStream>) -> bool {
+    let Some(stream) = stream.upgrade() else { return std::future::pending().await };
+    let mut scratch = [0; 4 * 1024];
+    loop {
+        if stream.readable().await.is_err() {
+            return true;
+        }
+        match stream.try_read(&mut scratch) {
+            Ok(bytes) => return bytes == 0,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+            Err(_) => return true,
+        }
+    }
+}
+
 /// A request at the driver: dropped unanswered, its client has left.
 struct Waiting<'a> {
     ticket: Ticket,
--- a/crates/proxy/src/sockets.rs
+++ b/crates/proxy/src/sockets.rs
@@ -4,12 +4,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
-use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::rc::{Rc, Weak};
+use std::task::{Context, Poll, ready};
 
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use rustix::net::sockopt::set_socket_reuseport;
-use rustix::net::{AddressFamily, SocketType};
+use rustix::net::{AddressFamily, Shutdown, SocketType};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::sync::Notify;
@@ -144,6 +144,10 @@
     }
     /// So many were written.
     fn wrote(&self, _bytes: usize) {}
+    /// Asked before bytes are read: false where the stream is to look as if it had ended.
+    fn may_read(&self) -> bool {
+        true
+    }
     /// Bytes have been read.
     fn got(&self) {}
     /// The other side has closed.
@@ -152,7 +156,7 @@
 
 /// A TCP stream that holds a descriptor of the budget and tells a [`Tap`].
 pub struct Tapped<T> {
-    stream: TcpStream,
+    stream: Rc<TcpStream>,
     /// What watches it.
     pub tap: T,
     _slot: Slot,
@@ -163,7 +167,12 @@
     pub fn new(stream: TcpStream, tap: T, slot: Slot) -> Self {
         // Failing leaves a working, slower connection.
         let _ = stream.set_nodelay(true);
-        Tapped { stream, tap, _slot: slot }
+        Tapped { stream: Rc::new(stream), tap, _slot: slot }
+    }
+
+    /// The stream itself, for whoever watches what nobody reads.
+    pub fn watched(&self) -> Weak<TcpStream> {
+        Rc::downgrade(&self.stream)
     }
 }
 
@@ -174,48 +183,56 @@
 }
 
 impl<T: Tap> AsyncRead for Tapped<T> {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buf.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        let closed = matches!(polled, Poll::Ready(Ok(())) if buf.filled().len() == before);
-        if closed || matches!(polled, Poll::Ready(Err(_))) {
-            self.tap.ended();
-        } else if polled.is_ready() {
-            self.tap.got();
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        if !self.tap.may_read() {
+            return Poll::Ready(Ok(()));
+        }
+        loop {
+            let read = match ready!(self.stream.poll_read_ready(cx)) {
+                Ok(()) => self.stream.try_read_buf(buf),
+                Err(error) => Err(error),
+            };
+            match read {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
+                Ok(0) | Err(_) => self.tap.ended(),
+                Ok(_) => self.tap.got(),
+            }
+            return Poll::Ready(read.map(drop));
         }
-        polled
     }
 }
 
 impl<T: Tap> AsyncWrite for Tapped<T> {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.tap.may_write()?;
-        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
-        if let Poll::Ready(Ok(bytes)) = polled {
-            self.tap.wrote(bytes);
+        loop {
+            ready!(self.stream.poll_write_ready(cx))?;
+            match self.stream.try_write(buf) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => {
+                    let _ = written.as_ref().map(|bytes| self.tap.wrote(*bytes));
+                    return Poll::Ready(written);
+                }
+            }
         }
-        polled
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    /// Nothing is held back here.
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(rustix::net::shutdown(&*self.stream, Shutdown::Write).map_err(io::Error::from))
     }
 }
 
 impl<T: Tap> ActixStream for Tapped<T> {
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_read_ready(&self.stream, cx)
+        ActixStream::poll_read_ready(&*self.stream, cx)
     }
 
     fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_write_ready(&self.stream, cx)
+        ActixStream::poll_write_ready(&*self.stream, cx)
     }
 }
--- a/crates/proxy/tests/exchanges/player.rs
+++ b/crates/proxy/tests/exchanges/player.rs
@@ -7,7 +7,9 @@
 //! process at the same address. `proxy log TEXT` waits for a line of
 //! the log, `proxy tells TEXT` writes it down, `proxy term` sends SIGTERM, `proxy exit` waits for the end; `proxy reload TEXT` replaces the
 //! configuration (by one that names that party as discovery, or by the text itself) and sends SIGHUP;
-//! `proxy sockets N` starts it with that many descriptors, `proxy with A B` with B for A in its configuration. `fill N` sends so many bytes that are no HTTP, `fin` waits for an orderly
+//! `proxy sockets N` starts it with that many descriptors, `proxy with A B` with B for A in its configuration, `proxy
+//! debug` with a log that follows each request. `fill N` sends so many bytes that are no HTTP, `times N TEXT` the text so
+//! often, `proxy rested` holds where it has been on a processor for less than 1 s since its start; `fin` waits for an orderly
 //! end where `eof` takes a reset as well; `hold` lets no connection to a server come up any more, `dialled`
 //! waits until one is asked for and `undialled` until none is. Nothing sleeps: all wait for bytes or the system's tables.
 
@@ -36,10 +38,15 @@
 
 /// Runs the program with a configuration file of that text, for as long as it is needed.
 pub fn start(config: &str) -> (Child, NamedTempFile) {
+    start_logging(config, "info")
+}
+
+/// The same, with a log of that level.
+fn start_logging(config: &str, level: &str) -> (Child, NamedTempFile) {
     let file = NamedTempFile::new().expect("a file");
     std::fs::write(file.path(), config).expect("written");
     let mut command = Command::new(env!("CARGO_BIN_EXE_ironmast"));
-    command.arg("run").env("GW_CONFIG", file.path()).stderr(Stdio::piped());
+    command.args(["run", "--log-level", level]).env("GW_CONFIG", file.path()).stderr(Stdio::piped());
     for name in ["GW_NAME", "GW_LISTEN", "GW_DISCOVERY"] {
         command.env_remove(name);
     }
@@ -67,7 +74,8 @@
         assert!(config.contains(from), "{from} is not in the configuration");
         config = config.replace(from, to);
     }
-    let (child, config) = start(&config);
+    let level = if script.lines().any(|line| line == "proxy debug") { "debug" } else { "info" };
+    let (child, config) = start_logging(&config, level);
     let mut child = Running(child);
     let log = BufReader::new(child.0.stderr.take().expect("piped"));
     let (listen, held, open, said) = Default::default();
@@ -87,7 +95,7 @@
         let (party, verb) = (words.next().expect("a party"), words.next().expect("a verb"));
         let text = words.next().unwrap_or("");
         match (party, verb) {
-            ("proxy", "sockets" | "with") => {}
+            ("proxy", "sockets" | "with" | "debug") => {}
             ("proxy", "log") => drop(wait_log(&mut self.log, text)),
             ("proxy", "tells") => {
                 let line = wait_log(&mut self.log, text);
@@ -106,6 +114,19 @@
                 let status = self.child.0.wait().expect("it ends");
                 self.said += &format!("proxy exit {}\n", status.code().unwrap_or(-1));
             }
+            ("proxy", "rested") => {
+                // Of the thread that does everything: how long it has been on a processor, in ns.
+                let path = format!("/proc/{}/schedstat", self.child.0.id());
+                let text = std::fs::read_to_string(path).expect("it runs");
+                let busy: u64 = text.split(' ').next().and_then(|ns| ns.parse().ok()).expect("a number");
+                assert!(busy < 1_000_000_000, "{busy} ns on a processor");
+            }
+            (_, "times") => {
+                let (count, text) = text.split_once(' ').expect("N TEXT");
+                let text =
+                    text.replace("\\r", "\r").replace("\\n", "\n").repeat(count.parse().expect("a number"));
+                self.stream(party).get_mut().write_all(text.as_bytes()).expect("written");
+            }
             (_, "list") => {
                 let list = self.list(text);
                 let chunk = format!("{:x}\r\n{list}\n\r\n", list.len() + 1);
@@ -172,6 +193,7 @@
                 None => TcpStream::connect(&self.listen).expect("it listens"),
             };
             stream.set_read_timeout(Some(PATIENCE)).expect("set");
+            stream.set_write_timeout(Some(PATIENCE)).expect("set");
             BufReader::new(stream)
         })
     }
