--- /dev/null
+++ b/crates/emulator/src/judge/tests.rs
@@ -0,0 +1,45 @@
+//! Tests of `judge.rs`.
+
+use super::*;
+
+/// One request more than N + 2 root N + 2 in a window pushes a cold server over, whoever sent it; one that comes once
+/// the first has left the window does not.
+#[test]
+fn a_cold_server_bears_its_budget_and_chance_and_no_more() {
+    let text = r#"
+        name = "cold"
+        length_s = 4.0
+        zones = ["a"]
+        clients = { rate = 1.0 }
+        proxies = { count = 30 }
+        rules = { cold_multiple = 4.0, cold_window_s = 2.0 }
+        [[class]]
+        name = "one"
+        effect = "free"
+        work_ms = 20.0
+        aim_ms = 300.0
+        deadline_ms = 900.0
+        [[pool]]
+        kind = "std"
+        servers = 1
+        cores = 1
+    "#;
+    let scenario = Scenario::read(text).expect("sound");
+    // Of half a core 4 times 2 s are 200 requests of 20 ms: 230 with the chance of 2 x 14.1 and 2.
+    let (capacity, work, most) = (0.5, 20_000.0, 230);
+    for (senders, informed, broken) in [(1, true, 1), (30, true, 1), (30, false, 0)] {
+        let mut judge = Judge::new(&scenario, 0);
+        let press =
+            |judge: &mut Judge, at, n: u32| judge.pressed(at, 7, n % senders, work, capacity, informed);
+        assert!((0..most).all(|n| !press(&mut judge, 1_000 * u64::from(n), n)), "{senders}");
+        assert!(press(&mut judge, 1_000 * u64::from(most), most), "{senders}: one more");
+        assert_eq!(judge.broken, broken, "{senders}");
+    }
+    let mut judge = Judge::new(&scenario, 0);
+    for n in 0..2 * u64::from(most) {
+        assert!(
+            !judge.pressed(n * 10_000, 7, 0, work, capacity, true),
+            "100 a second are borne for good: {n}"
+        );
+    }
+}
--- a/crates/emulator/tests/judge.rs
+++ b/crates/emulator/tests/judge.rs
@@ -223,6 +223,31 @@
     });
 }
 
+/// A fleet in whose deploy an even share is several times what a server bears that has just started.
+fn cold_fleet(proxies: u32) -> Scenario {
+    let mut scenario = fleet(DEPLOY);
+    (scenario.proxies.count, scenario.pool[0].servers, scenario.clients.rate) = (proxies, 24, 1_400.0);
+    (scenario.pool[0].cold_share, scenario.rules.cold_multiple) = (0.1, 2.0);
+    scenario
+}
+
+/// The budget of a cold server holds for the sum of what all proxies send, however many they are; whoever sends it an
+/// even share is caught.
+#[test]
+fn no_number_of_proxies_pushes_a_cold_server_over() {
+    for proxies in [5, 30, 300] {
+        let even = sin(Sin::FourAttempts, &cold_fleet(proxies));
+        assert!(even.rules_broken.iter().any(|b| b.rule == Rule::ColdSpared), "{proxies}: {:?}", even.breaks);
+    }
+    let runs: Vec<(u32, u64)> =
+        [5, 30, 300].into_iter().flat_map(|n| (0..10).map(move |seed| (n, seed))).collect();
+    runs.into_par_iter().for_each(|(proxies, seed)| {
+        let report = World::new(&cold_fleet(proxies), PolicyName::Module, seed).run();
+        assert!(report.requests.served > 5_000, "{proxies} proxies, seed {seed}: {:?}", report.requests);
+        assert_eq!(report.breaks, 0, "{proxies} proxies, seed {seed}: {:?}", report.rules_broken.first());
+    });
+}
+
 /// Arrivals, work and troubles are the same for every policy: two runs differ by what the policies did alone.
 #[test]
 fn policies_meet_the_same_clients() {
--- a/crates/proxy/src/listener.rs
+++ b/crates/proxy/src/listener.rs
@@ -4,8 +4,10 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::io;
 use std::rc::{Rc, Weak};
+use std::task::{Poll, ready};
 use std::time::Duration;
 
 use actix_http::body::{BodyStream, BoxBody, SizedStream};
@@ -564,19 +566,20 @@
 }
 
 /// Waits until something has come that nobody reads, and throws it away; true once the client has left.
-async fn thrown_away(stream: &Weak<TcpStream>) -> bool {
-    let Some(stream) = stream.upgrade() else { return std::future::pending().await };
-    let mut scratch = [0; 4 * 1024];
-    loop {
-        if stream.readable().await.is_err() {
-            return true;
-        }
-        match stream.try_read(&mut scratch) {
-            Ok(bytes) => return bytes == 0,
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-            Err(_) => return true,
+async fn thrown_away(stream: &Weak<RefCell<TcpStream>>) -> bool {
+    poll_fn(|cx| {
+        let Some(stream) = stream.upgrade() else { return Poll::Pending };
+        loop {
+            let ready = ready!(stream.borrow().poll_read_ready(cx));
+            let mut scratch = [0; 4 * 1024];
+            match ready.and_then(|()| stream.borrow().try_read(&mut scratch)) {
+                Ok(bytes) => return Poll::Ready(bytes == 0),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return Poll::Ready(true),
+            }
         }
-    }
+    })
+    .await
 }
 
 /// A request at the driver: dropped unanswered, its client has left.
--- a/crates/proxy/src/sockets.rs
+++ b/crates/proxy/src/sockets.rs
@@ -5,11 +5,11 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll, ready};
+use std::task::{Context, Poll};
 
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use rustix::net::sockopt::set_socket_reuseport;
-use rustix::net::{AddressFamily, Shutdown, SocketType};
+use rustix::net::{AddressFamily, SocketType};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::sync::Notify;
@@ -156,7 +156,7 @@
 
 /// A TCP stream that holds a descriptor of the budget and tells a [`Tap`].
 pub struct Tapped<T> {
-    stream: Rc<TcpStream>,
+    stream: Rc<RefCell<TcpStream>>,
     /// What watches it.
     pub tap: T,
     _slot: Slot,
@@ -167,11 +167,11 @@
     pub fn new(stream: TcpStream, tap: T, slot: Slot) -> Self {
         // Failing leaves a working, slower connection.
         let _ = stream.set_nodelay(true);
-        Tapped { stream: Rc::new(stream), tap, _slot: slot }
+        Tapped { stream: Rc::new(RefCell::new(stream)), tap, _slot: slot }
     }
 
-    /// The stream itself, for whoever watches what nobody reads.
-    pub fn watched(&self) -> Weak<TcpStream> {
+    /// The stream itself, for whoever watches, in the same task, what nobody reads.
+    pub fn watched(&self) -> Weak<RefCell<TcpStream>> {
         Rc::downgrade(&self.stream)
     }
 }
@@ -187,52 +187,43 @@
         if !self.tap.may_read() {
             return Poll::Ready(Ok(()));
         }
-        loop {
-            let read = match ready!(self.stream.poll_read_ready(cx)) {
-                Ok(()) => self.stream.try_read_buf(buf),
-                Err(error) => Err(error),
-            };
-            match read {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => continue,
-                Ok(0) | Err(_) => self.tap.ended(),
-                Ok(_) => self.tap.got(),
-            }
-            return Poll::Ready(read.map(drop));
+        let before = buf.filled().len();
+        let polled = Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf);
+        let closed = matches!(polled, Poll::Ready(Ok(())) if buf.filled().len() == before);
+        if closed || matches!(polled, Poll::Ready(Err(_))) {
+            self.tap.ended();
+        } else if polled.is_ready() {
+            self.tap.got();
         }
+        polled
     }
 }
 
 impl<T: Tap> AsyncWrite for Tapped<T> {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.tap.may_write()?;
-        loop {
-            ready!(self.stream.poll_write_ready(cx))?;
-            match self.stream.try_write(buf) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                written => {
-                    let _ = written.as_ref().map(|bytes| self.tap.wrote(*bytes));
-                    return Poll::Ready(written);
-                }
-            }
+        let polled = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, buf);
+        if let Poll::Ready(Ok(bytes)) = polled {
+            self.tap.wrote(bytes);
         }
+        polled
     }
 
-    /// Nothing is held back here.
-    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(Ok(()))
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(rustix::net::shutdown(&*self.stream, Shutdown::Write).map_err(io::Error::from))
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
     }
 }
 
 impl<T: Tap> ActixStream for Tapped<T> {
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_read_ready(&*self.stream, cx)
+        ActixStream::poll_read_ready(&*self.stream.borrow(), cx)
     }
 
     fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_write_ready(&*self.stream, cx)
+        ActixStream::poll_write_ready(&*self.stream.borrow(), cx)
     }
 }
