--- a/crates/proxy/tests/exchanges.rs
+++ b/crates/proxy/tests/exchanges.rs
@@ -25,7 +25,7 @@
     served bad_requests refused_connect resets broken_answer idle_closed cancelled drained removed ending turned_away
     watch_fails scarce crowded reload spoilt noisy unfinished replaced
     window_over left_connecting copy_loses left_flooding left_muttering
-    ending_half_read ending_twice pipelined_flood flood_waits
+    scarce_in_outage ending_half_read ending_twice pipelined_flood flood_waits
 }
 
 #[test]
