Exchanges and deployments read messages, start the program and find its address by one code

Cause, found on rereading: tests/deployments.rs brought a second reader of messages, a second start of the program and a third reading of the address in its log, beside those of the exchanges' player. Change: it is a module of the exchanges' test and calls player::{message, start, listens_at}; read_message and the test of stale lists call them as well. Its assertions stand, with the case of what came (the reader lowered it before). No program code is changed.

--- a/crates/proxy/tests/exchanges.rs
+++ b/crates/proxy/tests/exchanges.rs
@@ -2,6 +2,8 @@
 //! is compared with `tests/snapshots/`.
 
 mod common;
+#[path = "exchanges/deployments.rs"]
+mod deployments;
 #[path = "exchanges/player.rs"]
 mod player;
 
@@ -10,7 +12,7 @@
 use std::process::{Command, Output};
 
 use common::{PATIENCE, Running, wait_log};
-use player::{play, start};
+use player::{listens_at, play, start};
 
 macro_rules! exchanges {
     ($($name:ident)*) => {$(
@@ -139,8 +141,7 @@
     let (child, _file) = start(&config);
     let mut child = Running(child);
     let mut log = BufReader::new(child.0.stderr.take().expect("piped"));
-    let line = wait_log(&mut log, "listen: ");
-    let listen = line.split_once("listen: ").and_then(|l| l.1.split([',', '\n']).next()).expect("an address");
+    let listen = listens_at(&mut log);
     let mut told = [0; 300];
     let (bytes, proxy) = peer.recv_from(&mut told).expect("it tells its rate");
     assert_eq!((bytes, told[0], told[1]), (6, 1, 0), "version 1, zone 0 and a rate");
--- a/crates/proxy/tests/deployments.rs
+++ b/crates/proxy/tests/exchanges/deployments.rs
@@ -1,15 +1,15 @@
 //! Deployments of different shapes: `check-config` reads the settings of each, and the proxy serves one request of each
 //! class, with the names, effects, tenants and ways of asking that they alone tell.
 
-mod common;
-
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Command, Stdio};
+use std::process::Command;
 
-use common::{PATIENCE, Running, wait_log};
 use serde_json::{Value, json};
 
+use crate::common::{PATIENCE, Running, wait_log};
+use crate::player::{listens_at, message, start};
+
 /// Class: its name, whether and where repeats are dropped, its aim and its clients' patience in ms.
 type Class = (&'static str, &'static str, Option<(&'static str, u64)>, u64, u64);
 
@@ -118,25 +118,6 @@
     }
 }
 
-/// Reads one message: its head in lines, its body.
-fn message(from: &mut BufReader<TcpStream>) -> Option<(Vec<String>, Vec<u8>)> {
-    let mut head = Vec::new();
-    loop {
-        let mut line = String::new();
-        if from.read_line(&mut line).ok()? == 0 {
-            return None;
-        }
-        match line.trim_end() {
-            "" => break,
-            line => head.push(line.to_ascii_lowercase()),
-        }
-    }
-    let length = head.iter().find_map(|line| line.strip_prefix("content-length: ")?.parse().ok());
-    let mut body = vec![0; length.unwrap_or(0)];
-    from.read_exact(&mut body).ok()?;
-    Some((head, body))
-}
-
 /// Answers each request on each connection with the text that `answer` makes of it.
 fn stand_in(listener: TcpListener, answer: impl Fn(&[String], &[u8]) -> String + Clone + Send + 'static) {
     std::thread::spawn(move || {
@@ -182,24 +163,21 @@
         assert!(checked.status.success() && said.lines().count() == 1, "{name}: {said}");
         assert!(said.contains(&format!("in zone {}", deployment.zones[0])), "{name}: {said}");
 
-        let mut command = Command::new(env!("CARGO_BIN_EXE_ironmast"));
-        command.arg("run").env("GW_CONFIG", file.path()).stderr(Stdio::piped());
-        for variable in ["GW_NAME", "GW_LISTEN", "GW_DISCOVERY"] {
-            command.env_remove(variable);
-        }
-        let mut child = Running(command.spawn().expect("the program starts"));
+        let (child, _file) = start(&config.to_string());
+        let mut child = Running(child);
         let mut log = BufReader::new(child.0.stderr.take().expect("piped"));
-        let serving = wait_log(&mut log, "listen: ");
-        let listen =
-            serving.split_once("listen: ").and_then(|l| l.1.split([',', '\n']).next()).expect("it is told");
+        let listen = listens_at(&mut log);
         wait_log(&mut log, "list told: Complete");
-        let stream = TcpStream::connect(listen).expect("it listens");
-        stream.set_read_timeout(Some(PATIENCE)).expect("set");
-        let mut client = BufReader::new(stream);
+        let connect = || {
+            let stream = TcpStream::connect(&listen).expect("it listens");
+            stream.set_read_timeout(Some(PATIENCE)).expect("set");
+            BufReader::new(stream)
+        };
+        let mut client = connect();
         for (n, &(class, effect, dropped, ..)) in deployment.classes.iter().enumerate() {
             let tenant =
                 deployment.tenants.iter().map(|t| format!("X-Org: {}\r\n", t.0)).next().unwrap_or_default();
-            let method = if effect == "free" { "get" } else { "post" };
+            let method = if effect == "free" { "GET" } else { "POST" };
             let (key, body) = match effect {
                 "free" => ("", ""),
                 _ if dropped.is_some() => ("idempotency-key: k7", "hi"),
@@ -208,23 +186,22 @@
             let header = if key.is_empty() { String::new() } else { format!("{key}\r\n") };
             let length = if effect == "free" { String::new() } else { "Content-Length: 2\r\n".to_string() };
             let request = format!(
-                "{} /{class}/a?k=9 HTTP/1.1\r\nHost: a\r\nX-Txn: t{n}\r\n{tenant}{header}{length}\r\n{body}",
-                method.to_ascii_uppercase()
+                "{method} /{class}/a?k=9 HTTP/1.1\r\nHost: a\r\nX-Txn: t{n}\r\n{tenant}{header}{length}\r\n{body}"
             );
             client.get_mut().write_all(request.as_bytes()).expect("written");
             let (head, told) = message(&mut client).expect("an answer");
             let told = String::from_utf8(told).expect("text");
-            assert_eq!(head[0], "http/1.1 200 ok", "{name}, {class}: {told}");
-            assert_eq!(told, format!("{method} /{class}/a?k=9 http/1.1 {key} {body}"), "{name}");
+            assert_eq!(head[0], "HTTP/1.1 200 OK", "{name}, {class}: {told}");
+            assert_eq!(told, format!("{method} /{class}/a?k=9 HTTP/1.1 {key} {body}"), "{name}");
         }
         // No other deployment's class is known here.
         let others = DEPLOYMENTS.iter().flat_map(|d| d.classes).map(|c| c.0);
         for class in others.filter(|other| deployment.classes.iter().all(|own| own.0 != *other)) {
-            let mut stranger = BufReader::new(TcpStream::connect(listen).expect("it listens"));
+            let mut stranger = connect();
             let request = format!("GET /{class} HTTP/1.1\r\nHost: a\r\nX-Txn: s\r\n\r\n");
             stranger.get_mut().write_all(request.as_bytes()).expect("written");
             let (head, _) = message(&mut stranger).expect("an answer");
-            assert_eq!(head[0], "http/1.1 404 not found", "{name}, {class}");
+            assert_eq!(head[0], "HTTP/1.1 404 Not Found", "{name}, {class}");
         }
     }
 }
--- a/crates/proxy/tests/exchanges/player.rs
+++ b/crates/proxy/tests/exchanges/player.rs
@@ -58,6 +58,13 @@
     (child, file)
 }
 
+/// Reads the program's log on to where it says at which address it listens.
+pub fn listens_at(log: &mut BufReader<ChildStderr>) -> String {
+    let serving = wait_log(log, "listen: ");
+    let address = |text: &str| text.split(|c: char| !"0123456789.:".contains(c)).next().map(str::to_string);
+    serving.split_once("listen: ").and_then(|(_, rest)| address(rest)).expect("an address")
+}
+
 fn config(discovery: &str) -> String {
     ironmast_stage::CONFIG.replace("{discovery}", discovery)
 }
@@ -80,9 +87,7 @@
     let log = BufReader::new(child.0.stderr.take().expect("piped"));
     let (listen, held, open, said) = Default::default();
     let mut proxy = Proxy { child, config, log, listen, listeners, held, open, said, rev: 0 };
-    let serving = wait_log(&mut proxy.log, "listen: ");
-    let address = |text: &str| text.split(|c: char| !"0123456789.:".contains(c)).next().map(str::to_string);
-    proxy.listen = serving.split_once("listen: ").and_then(|(_, rest)| address(rest)).expect("an address");
+    proxy.listen = listens_at(&mut proxy.log);
     for line in script.lines().filter(|l| !l.trim().is_empty() && !l.starts_with('#')) {
         proxy.step(line);
     }
@@ -216,25 +221,41 @@
     }
 }
 
-/// Reads one message, without what differs from run to run: date, addresses, times.
-fn read_message(from: &mut BufReader<TcpStream>) -> String {
-    let (mut lines, mut length) = (Vec::new(), 0);
+/// Reads one message: its first line and headers, and its body; none where the other side ends or falls silent before.
+pub fn message(from: &mut BufReader<TcpStream>) -> Option<(Vec<String>, Vec<u8>)> {
+    let (mut head, mut length) = (Vec::new(), 0);
     loop {
         let mut line = String::new();
-        assert!(from.read_line(&mut line).expect("a line") > 0, "closed after {lines:?}");
+        if from.read_line(&mut line).ok()? == 0 {
+            return None;
+        }
         let line = line.trim_end().to_string();
+        match line.split_once(": ") {
+            Some((name, value)) if name.eq_ignore_ascii_case("content-length") => {
+                length = value.parse().expect("a length");
+            }
+            _ if line.is_empty() => break,
+            _ => head.push(line),
+        }
+    }
+    let mut body = vec![0; length];
+    from.read_exact(&mut body).ok()?;
+    Some((head, body))
+}
+
+/// Reads one message, without what differs from run to run: date, addresses, times.
+fn read_message(from: &mut BufReader<TcpStream>) -> String {
+    let (head, body) = message(from).expect("a whole message");
+    let mut lines = Vec::new();
+    for line in head {
         let (name, value) = line.split_once(": ").unwrap_or((&line, ""));
         match name.to_ascii_lowercase().as_str() {
-            "" => break,
-            "content-length" => length = value.parse().expect("a length"),
             "date" | "host" => {}
             "x-remaining" | "retry-after" => lines.push(format!("{name}: {}", shape(value))),
             _ => lines.push(line),
         }
     }
     lines[1..].sort();
-    let mut body = vec![0; length];
-    from.read_exact(&mut body).expect("the body");
     lines.push(body.escape_ascii().to_string());
     lines.join(" | ")
 }
