mesh: set_in_contact, by which a coordinator tells whether it has a majority

Overlay::set_beating becomes Event::InContact, so that the node can act on it at once. So far it stops the coordinator's beats as before; its place in the tree follows.

--- a/crates/mesh/src/driver.rs
+++ b/crates/mesh/src/driver.rs
@@ -89,6 +89,7 @@
             Command::Publish(key, version, payload) => self.handle(Event::Publish { key, version, payload }),
             Command::Remove(key, version) => self.handle(Event::Remove { key, version }),
             Command::Seeds(seeds) => self.handle(Event::Seeds(seeds)),
+            Command::InContact(in_contact) => self.handle(Event::InContact(in_contact)),
             Command::Leave => self.handle(Event::Leave),
         }
     }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -26,6 +26,8 @@
     Remove(OverlayKey, u64),
     /// Where coordinators are.
     Seeds(Vec<SocketAddr>),
+    /// Whether this coordinator is in contact with a majority of the coordinators.
+    InContact(bool),
     /// The node is about to end.
     Leave,
 }
@@ -78,6 +80,14 @@
         self.tell(Command::Remove(key(of), version));
     }
 
+    /// Tells a coordinator's mesh whether the coordinator is in contact with a majority of the coordinators. One that is
+    /// not stops being a root of the relay tree, so that agents turn to others at once; what is published there still
+    /// spreads. Until the first call it counts as in contact: a coordinator calls this with `false` right after
+    /// [`Mesh::start`], and at each change. May be called at any moment, also with the same value again.
+    pub fn set_in_contact(&self, in_contact: bool) {
+        self.tell(Command::InContact(in_contact));
+    }
+
     /// Tells the neighbours that this node ends.
     pub fn leave(&self) {
         self.tell(Command::Leave);
--- a/crates/overlay/src/overlay.rs
+++ b/crates/overlay/src/overlay.rs
@@ -57,6 +57,9 @@
         /// The version.
         version: Version,
     },
+    /// Whether this coordinator is in contact with a majority of the coordinators; without this event it is. One that
+    /// is not emits no beats.
+    InContact(bool),
     /// The time asked for by [`Action::Timer`] has come. More often does no harm.
     Timer,
     /// The node is about to stop: its neighbours are told.
@@ -145,7 +148,7 @@
     store: Store,
     view: View,
     beats: Beats,
-    beating: bool,
+    in_contact: bool,
     started: Duration,
     /// When the last event was handled.
     handled: Duration,
@@ -177,7 +180,7 @@
             random,
             store,
             beats: Beats::default(),
-            beating: true,
+            in_contact: true,
             started: now,
             handled: now,
             seeds: Vec::new(),
@@ -198,6 +201,7 @@
             Event::Message { from, message } => self.message(now, from, message, out),
             Event::Publish { key, version, payload } => self.publish(now, key, version, Some(payload), out),
             Event::Remove { key, version } => self.publish(now, key, version, None, out),
+            Event::InContact(in_contact) => self.in_contact = in_contact,
             Event::Timer => {}
             Event::Leave => return self.leave(out),
         }
@@ -270,11 +274,6 @@
         self.beats.ages(now)
     }
 
-    /// Starts or stops the beats of a coordinator, for one that is out of touch with the others.
-    pub fn set_beating(&mut self, beating: bool) {
-        self.beating = beating;
-    }
-
     /// Where the node stands in the tree.
     pub fn position(&self) -> &Position {
         &self.feed.position
--- a/crates/overlay/src/overlay/watch.rs
+++ b/crates/overlay/src/overlay/watch.rs
@@ -87,7 +87,7 @@
     }
 
     fn emit_beat(&mut self, now: Duration, out: &mut Vec<Action>) {
-        if self.beating {
+        if self.in_contact {
             let elapsed = now.saturating_sub(self.started).as_millis();
             let elapsed_ms = u64::try_from(elapsed).unwrap_or(u64::MAX).max(1);
             let beat = Beat { source: self.me.beat_source(), elapsed_ms };
--- a/crates/overlay/tests/overlay/faults.rs
+++ b/crates/overlay/tests/overlay/faults.rs
@@ -207,7 +207,7 @@
 fn a_coordinator_that_stops_its_beats_makes_agents_stale() {
     let mut sim = started(Plan::TWENTY, 2);
     for coordinator in 0..3 {
-        sim.nodes[coordinator].overlay.as_mut().expect("running").set_beating(false);
+        sim.give(coordinator, Event::InContact(false));
     }
     sim.run_for(ms(4_000));
     assert_eq!(sim.unfed(), 0);
@@ -218,7 +218,7 @@
 #[test]
 fn agents_of_a_coordinator_cut_off_from_the_others_are_fed_elsewhere() {
     let mut sim = started(Plan::TWENTY, 2);
-    sim.nodes[1].overlay.as_mut().expect("running").set_beating(false);
+    sim.give(1, Event::InContact(false));
     let alone = address(1);
     sim.cut(move |from, to| {
         from.is_coordinator() && to.is_coordinator() && (from.address == alone || to.address == alone)
