overlay: news reaches all agents in time while their region's coordinator is cut off

Cause, brought about by a simulation in the shape of a region of one zone and one coordinator (contact.rs: 2 to 10 agents there, two coordinators elsewhere, ten ways of cutting for 20 s, started within 0.3 s, changes at random moments around it). The lead (the age of beats) is dismissed: nothing chooses a source by that age. A trace of one run shows the steps: - The cut-off coordinator stays a root, its agents stay under it, and news enters the region only over the deputy's standby link: announced after up to 500 ms, 55 ms on its way, asked for 150 ms later, 110 ms for the answer. - Inside the region it is then announced again, after up to 500 ms, and asked for 150 ms later, hop by hop. - After three versions that had to be asked for, the deputy avoids its source for 10 s though all others depend on the same coordinator; fed by another agent it is the deputy no more, and its standby link is closed. In the trace the role went round five agents and for 2.3 s no link led out of the region: this is the step that costs the seconds.

Change: - A coordinator out of contact is a root that says so (Position::Root { in_contact }), down all paths below it. Agents take any source under a coordinator in contact before it, at once, also out of the region; where there is none they keep what they have, so entries go on as before when nobody has a majority. What it publishes goes to all neighbours. - Lookouts: the two agents with the best scores of a region with one coordinator (one where there are several) keep a link to a coordinator of another region, whoever feeds them. - Announcements on agents' links out of the region leave after 100 ms rather than 500. - News that came another way than from the source is pushed to the source and the neighbours of the region at once; by a coordinator that hears it from an agent, as if it were its own. - A source is avoided for its gaps only where a neighbour depends on another coordinator.

--- a/crates/overlay/src/link.rs
+++ b/crates/overlay/src/link.rs
@@ -152,6 +152,19 @@
         !matches!(self, Position::Detached)
     }
 
+    /// Whether a node at this position is fed by a coordinator in contact with a majority, or is one.
+    pub fn is_in_contact(&self) -> bool {
+        matches!(self, Position::Root { in_contact: true } | Position::Under { in_contact: true, .. })
+    }
+
+    /// The coordinator at the start of the path to an agent.
+    pub(crate) fn root(&self) -> Option<NodeId> {
+        match self {
+            Position::Under { path, .. } => path.first().copied(),
+            Position::Root { .. } | Position::Detached => None,
+        }
+    }
+
     /// Whether the way to a node at this position leads over `node`.
     pub(crate) fn passes(&self, node: NodeId) -> bool {
         matches!(self, Position::Under { path, .. } if path.contains(&node))
@@ -160,7 +173,7 @@
     /// Hops from a coordinator; `None` when not fed.
     pub fn depth(&self) -> Option<usize> {
         match self {
-            Position::Root => Some(0),
+            Position::Root { .. } => Some(0),
             Position::Detached => None,
             Position::Under { path, .. } => Some(path.len()),
         }
@@ -172,14 +185,15 @@
         let close = source.place == me.place;
         let (mut path, region_head, zone_head) = match self {
             Position::Detached => return Position::Detached,
-            Position::Root => (Vec::new(), 0, 0),
-            Position::Under { path, region_head, zone_head } => (path.clone(), *region_head, *zone_head),
+            Position::Root { .. } => (Vec::new(), 0, 0),
+            Position::Under { path, region_head, zone_head, .. } => (path.clone(), *region_head, *zone_head),
         };
         path.push(source.id());
         Position::Under {
             path,
             region_head: if near { region_head } else { me.score() },
             zone_head: if close { zone_head } else { me.score() },
+            in_contact: self.is_in_contact(),
         }
     }
 }
--- a/crates/overlay/src/message.rs
+++ b/crates/overlay/src/message.rs
@@ -33,7 +33,10 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Position {
     /// A coordinator.
-    Root,
+    Root {
+        /// Whether it is in contact with a majority of the coordinators.
+        in_contact: bool,
+    },
     /// An agent that is fed by nobody.
     #[default]
     Detached,
@@ -45,6 +48,8 @@
         region_head: u32,
         /// Score of the agent through which its zone is fed, 0 when fed by a coordinator in the zone.
         zone_head: u32,
+        /// Whether the coordinator at the start of the path is in contact with a majority, as far as is known here.
+        in_contact: bool,
     },
 }
 
--- a/crates/overlay/src/overlay.rs
+++ b/crates/overlay/src/overlay.rs
@@ -58,7 +58,7 @@
         version: Version,
     },
     /// Whether this coordinator is in contact with a majority of the coordinators; without this event it is. One that
-    /// is not emits no beats.
+    /// is not emits no beats, and agents take another source if there is one under a coordinator in contact.
     InContact(bool),
     /// The time asked for by [`Action::Timer`] has come. More often does no harm.
     Timer,
@@ -93,6 +93,26 @@
     Timer(Duration),
 }
 
+/// Where an entry comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    /// Own publishing.
+    Here,
+    /// A neighbour that pushed it, or was asked for it after an announcement.
+    News(SocketAddr),
+    /// A neighbour, by a comparison of stores.
+    Repair(SocketAddr),
+}
+
+impl Origin {
+    fn sender(self) -> Option<SocketAddr> {
+        match self {
+            Origin::Here => None,
+            Origin::News(from) | Origin::Repair(from) => Some(from),
+        }
+    }
+}
+
 /// A failure to connect, and until when no further attempt is made.
 #[derive(Clone, Copy, Debug, Default)]
 struct Failure {
@@ -169,7 +189,8 @@
         if !settings.guards.version_check {
             store = store.without_version_check();
         }
-        let position = if me.is_coordinator() { Position::Root } else { Position::Detached };
+        let position =
+            if me.is_coordinator() { Position::Root { in_contact: true } } else { Position::Detached };
         let mut random = Xoshiro256PlusPlus::seed_from_u64(seed);
         Overlay {
             view: View::new(me, &settings),
@@ -201,7 +222,7 @@
             Event::Message { from, message } => self.message(now, from, message, out),
             Event::Publish { key, version, payload } => self.publish(now, key, version, Some(payload), out),
             Event::Remove { key, version } => self.publish(now, key, version, None, out),
-            Event::InContact(in_contact) => self.in_contact = in_contact,
+            Event::InContact(in_contact) => self.set_in_contact(now, in_contact),
             Event::Timer => {}
             Event::Leave => return self.leave(out),
         }
@@ -245,7 +266,7 @@
         out: &mut Vec<Action>,
     ) {
         let entry = Entry { key, version, removed_s: 0, payload };
-        self.accept(now, None, &entry, out);
+        self.accept(now, Origin::Here, &entry, out);
     }
 
     /// What is held of `key`: version and content.
--- a/crates/overlay/src/overlay/choice.rs
+++ b/crates/overlay/src/overlay/choice.rs
@@ -20,6 +20,7 @@
     region_head: u32,
     zone_head: u32,
     depth: usize,
+    in_contact: bool,
     load: u8,
     preference: u64,
 }
@@ -41,9 +42,14 @@
 impl Overlay {
     /// A neighbour to graft instead of the present source.
     pub(super) fn better_source(&self, now: Duration) -> Option<SocketAddr> {
-        let candidates: Vec<Candidate> =
+        let mut candidates: Vec<Candidate> =
             self.links.iter().filter_map(|(peer, link)| self.candidate(now, *peer, link)).collect();
-        let present = self.present(now);
+        let mut present = self.present(now);
+        // Out of contact with the majority is better than nothing, and than nothing else.
+        if candidates.iter().chain(&present).any(|candidate| candidate.in_contact) {
+            candidates.retain(|candidate| candidate.in_contact);
+            present = present.filter(|present| present.in_contact);
+        }
         if !self.settings.guards.region_heads {
             let least = candidates.iter().min_by_key(|candidate| candidate.depth)?;
             return present.is_none_or(|present| least.depth < present.depth).then_some(least.peer);
@@ -134,7 +140,9 @@
 
     fn describe(&self, peer: SocketAddr, link: &Link) -> Option<Candidate> {
         let node = link.node?;
-        let Position::Under { path, region_head, zone_head } = link.position.below(&node, &self.me) else {
+        let Position::Under { path, region_head, zone_head, in_contact } =
+            link.position.below(&node, &self.me)
+        else {
             return None;
         };
         Some(Candidate {
@@ -144,6 +152,7 @@
             region_head,
             zone_head,
             depth: path.len(),
+            in_contact,
             load: link.room,
             preference: self.preference(&node),
         })
--- a/crates/overlay/src/overlay/flow.rs
+++ b/crates/overlay/src/overlay/flow.rs
@@ -4,9 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::{Action, Missing, Overlay};
+use super::{Action, Missing, Origin, Overlay};
+use crate::link::Link;
 use crate::message::{Entry, Message};
 use crate::node::Descriptor;
+use crate::settings::Settings;
 use crate::store::{Key, Merged, Version};
 
 /// Times a missing version is asked for before it is left to the comparison of stores.
@@ -26,27 +28,28 @@
     pub(super) fn accept(
         &mut self,
         now: Duration,
-        from: Option<SocketAddr>,
+        origin: Origin,
         entry: &Entry,
         out: &mut Vec<Action>,
     ) -> Merged {
         let merged = self.store.merge(now, entry);
         match merged {
-            Merged::Newer => self.pass_on(now, from, entry, out),
-            Merged::Same => self.settle(from, entry.key),
-            Merged::Older => self.tell_newer(now, from, entry.key),
+            Merged::Newer => self.pass_on(now, origin, entry, out),
+            Merged::Same => self.settle(origin.sender(), entry.key),
+            Merged::Older => self.tell_newer(now, origin.sender(), entry.key),
         }
         merged
     }
 
-    fn pass_on(&mut self, now: Duration, from: Option<SocketAddr>, entry: &Entry, out: &mut Vec<Action>) {
+    fn pass_on(&mut self, now: Duration, origin: Origin, entry: &Entry, out: &mut Vec<Action>) {
         let payload = entry.payload.clone();
         out.push(Action::Changed { key: entry.key, version: entry.version, payload });
         if self.missing.get(&entry.key).is_some_and(|missing| missing.version <= entry.version) {
             self.missing.remove(&entry.key);
         }
-        let announce_at = now + self.settings.announce;
-        let relays = self.relays(from);
+        let from = origin.sender();
+        let relays = self.relays(origin);
+        let (me, settings) = (self.me, &self.settings);
         for (peer, link) in &mut self.links {
             if Some(*peer) == from || link.node.is_none() {
                 continue;
@@ -55,28 +58,44 @@
                 link.eager.insert(entry.key);
             } else {
                 link.lazy.insert(entry.key);
-                link.announce_at.get_or_insert(announce_at);
+                link.announce_at.get_or_insert(now + announce_interval(&me, link, settings));
             }
         }
         self.settle(from, entry.key);
     }
 
     /// Neighbours besides the fed ones that an entry is pushed to. The origin pushes to the coordinators of its region
-    /// and to one of each other region, which pushes to those of its own; an agent as the origin pushes to all.
-    fn relays(&self, from: Option<SocketAddr>) -> Vec<SocketAddr> {
-        if !self.me.is_coordinator() {
-            let all = || self.links.keys().copied().collect();
-            return if from.is_none() { all() } else { Vec::new() };
-        }
-        let sender = from.and_then(|from| self.links.get(&from)).and_then(|link| link.node);
+    /// and to one of each other region, which pushes to those of its own. An origin that nobody may be fed by, an agent
+    /// or a coordinator out of contact, pushes to all.
+    fn relays(&self, origin: Origin) -> Vec<SocketAddr> {
+        let coordinator = self.me.is_coordinator();
+        let sender = origin.sender().and_then(|from| self.links.get(&from)).and_then(|link| link.node);
         let inside = |node: &Descriptor| node.place.same_region(self.me.place);
-        match sender {
-            None => self.one_of_each_region(),
-            Some(node) if !inside(&node) => {
+        match (origin, sender) {
+            (Origin::Here, _) if coordinator && self.in_contact => self.one_of_each_region(),
+            (Origin::Here, _) => self.links.keys().copied().collect(),
+            (Origin::News(from), Some(node)) if !coordinator || !node.is_coordinator() => {
+                self.relays_of_stray(from)
+            }
+            (_, Some(node)) if coordinator && !inside(&node) => {
                 self.coordinators().filter(inside).map(|node| node.address).collect()
             }
-            Some(_) => Vec::new(),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Where news goes that did not come along the tree, so that the tree may lack it: a coordinator stands in for the
+    /// origin, an agent pushes it to its source and to the neighbours of its region.
+    fn relays_of_stray(&self, from: SocketAddr) -> Vec<SocketAddr> {
+        if self.feed.source == Some(from) || !self.settings.guards.eager_relay {
+            return Vec::new();
+        }
+        if self.me.is_coordinator() {
+            return self.one_of_each_region();
         }
+        let near = |link: &Link| link.node.is_some_and(|node| node.place.same_region(self.me.place));
+        let chosen = self.links.iter().filter(|(peer, link)| near(link) || self.feed.source == Some(**peer));
+        chosen.map(|(peer, _)| *peer).collect()
     }
 
     fn coordinators(&self) -> impl Iterator<Item = Descriptor> {
@@ -108,10 +127,9 @@
 
     /// The neighbour is behind: it is told what is held here.
     fn tell_newer(&mut self, now: Duration, from: Option<SocketAddr>, key: Key) {
-        let announce_at = now + self.settings.announce;
         if let Some(link) = from.and_then(|from| self.links.get_mut(&from)) {
             link.lazy.insert(key);
-            link.announce_at.get_or_insert(announce_at);
+            link.announce_at.get_or_insert(now + announce_interval(&self.me, link, &self.settings));
         }
     }
 
@@ -126,7 +144,10 @@
     ) {
         let mut newer = 0;
         for entry in &entries {
-            newer += u32::from(self.accept(now, Some(from), entry, out) == Merged::Newer);
+            let awaited =
+                self.missing.get(&entry.key).is_some_and(|missing| missing.version <= entry.version);
+            let origin = if pushed || awaited { Origin::News(from) } else { Origin::Repair(from) };
+            newer += u32::from(self.accept(now, origin, entry, out) == Merged::Newer);
         }
         if pushed {
             self.on_pushed(now, from, newer == 0, out);
@@ -151,11 +172,15 @@
         }
     }
 
-    /// Entries that the source should have pushed came by asking another node.
+    /// Entries that the source should have pushed came by asking another node. Where all others depend on the same
+    /// coordinator, that one lacks them, and no other source would be better.
     fn on_gap(&mut self, now: Duration, from: SocketAddr, newer: u32) {
         if self.feed.source == Some(from) || !self.feed.position.is_attached() {
             return;
         }
+        if self.settings.guards.stable_standby && !self.has_other_root() {
+            return;
+        }
         self.feed.gaps += newer;
         if self.feed.gaps < GAPS {
             return;
@@ -166,6 +191,16 @@
         }
     }
 
+    /// Whether a neighbour in the region is fed by another coordinator than this agent, or is one.
+    fn has_other_root(&self) -> bool {
+        let root = self.feed.position.root();
+        let other = |link: &Link, node: Descriptor| {
+            let their = if node.is_coordinator() { Some(node.id()) } else { link.position.root() };
+            node.place.same_region(self.me.place) && their.is_some() && their != root
+        };
+        self.links.values().any(|link| link.node.is_some_and(|node| other(link, node)))
+    }
+
     pub(super) fn on_announce(&mut self, now: Duration, from: SocketAddr, versions: &[(Key, Version)]) {
         if !self.settings.guards.lazy_repair {
             return;
@@ -251,3 +286,12 @@
         }
     }
 }
+
+/// How long changes wait for others before they are announced together on this link of `me`. Over an agent's link out
+/// of its region news comes of which the region's own source may know nothing, so there it is short.
+fn announce_interval(me: &Descriptor, link: &Link, settings: &Settings) -> Duration {
+    let apart = |node: Descriptor| !node.place.same_region(me.place);
+    let agents = |node: Descriptor| !me.is_coordinator() || !node.is_coordinator();
+    let standby = link.node.is_some_and(|node| apart(node) && agents(node));
+    if standby && settings.guards.quick_announce { settings.announce_far } else { settings.announce }
+}
--- a/crates/overlay/src/overlay/tree.rs
+++ b/crates/overlay/src/overlay/tree.rs
@@ -22,9 +22,12 @@
 /// How long a neighbour that refused is not asked again.
 const AVOID_REFUSED: Duration = Duration::from_secs(3);
 
-/// Interval between attempts to be fed from another region.
+/// Interval between attempts of an agent that is fed by nobody to be fed from another region.
 const LEAVE_AGAIN: Duration = Duration::from_millis(500);
 
+/// The same of an agent whose source is not in contact with a majority.
+const LEAVE_AGAIN_FED: Duration = Duration::from_secs(2);
+
 /// Coordinators a connection is opened to in one attempt.
 const OPENED_AT_ONCE: usize = 2;
 
@@ -50,6 +53,22 @@
         }
     }
 
+    /// A coordinator that loses contact with the majority stops being a root at once, and is one again on its return.
+    pub(super) fn set_in_contact(&mut self, now: Duration, in_contact: bool) {
+        if !self.me.is_coordinator() || self.in_contact == in_contact {
+            return;
+        }
+        self.in_contact = in_contact;
+        self.schedule.beat = now;
+        if !self.settings.guards.contact {
+            return;
+        }
+        self.feed.position = Position::Root { in_contact };
+        for link in self.links.values_mut() {
+            link.tell = true;
+        }
+    }
+
     /// Drops a source whose own path leads over this node.
     fn break_loop(&mut self, now: Duration, out: &mut Vec<Action>) {
         let Some(source) = self.feed.source else { return };
@@ -61,7 +80,7 @@
 
     fn update_position(&mut self, now: Duration) {
         let position = self.derived_position(now);
-        if position.is_attached() {
+        if position.is_in_contact() {
             self.feed.orphan_since = None;
             self.feed.left_region = None;
         } else {
@@ -100,7 +119,8 @@
     }
 
     /// Whether an agent without a source may take one from another region. Agents of a region do so in the order of
-    /// their scores; the deputy of the lost source at once; an agent whose source lives but has none itself, late.
+    /// their scores; the deputy of the lost source at once; an agent whose source lives but has none itself, late. A
+    /// source that is out of contact with the majority counts as lost.
     pub(super) fn may_leave_region(&self, now: Duration) -> bool {
         self.leave_region_at(now).is_some_and(|at| at <= now)
     }
@@ -112,6 +132,7 @@
         }
         let source = self.feed.source.and_then(|source| self.links.get(&source));
         let alive = source.is_some_and(|link| link.heard + self.settings.suspect > since);
+        let alive = alive && !self.feed.position.is_attached();
         if self.feed.deputy && !alive {
             return Some(since);
         }
@@ -123,14 +144,18 @@
     }
 
     /// Whether `node` is an agent of this region with a better score.
-    fn precedes(&self, node: &Descriptor) -> bool {
+    pub(super) fn precedes(&self, node: &Descriptor) -> bool {
         !node.is_coordinator() && node.place.same_region(self.me.place) && node.score() < self.me.score()
     }
 
+    fn leave_again(&self) -> Duration {
+        if self.feed.position.is_attached() { LEAVE_AGAIN_FED } else { LEAVE_AGAIN }
+    }
+
     /// Opens connections to coordinators anywhere, and from the second attempt on to an agent of another region too, as
     /// the coordinators known here may all be gone.
     fn leave_region(&mut self, now: Duration, out: &mut Vec<Action>) {
-        if self.feed.left_region.is_some_and(|at| at + LEAVE_AGAIN > now) {
+        if self.feed.left_region.is_some_and(|at| at + self.leave_again() > now) {
             return;
         }
         let again = self.feed.left_region.replace(now).is_some();
@@ -261,7 +286,7 @@
         let attached = self.feed.position.is_attached();
         let suspect = source.filter(|_| attached).map(|link| link.heard + self.settings.suspect);
         let asked = self.feed.asked.map(|(_, until)| until);
-        let again = self.feed.left_region.map(|at| at + LEAVE_AGAIN);
+        let again = self.feed.left_region.map(|at| at + self.leave_again());
         let leave = self.leave_region_at(now).map(|at| again.map_or(at, |again| at.max(again)));
         [suspect, asked, leave].into_iter().flatten().min()
     }
--- a/crates/overlay/src/overlay/upkeep.rs
+++ b/crates/overlay/src/overlay/upkeep.rs
@@ -18,6 +18,12 @@
 /// Links inside the region opened in one round.
 const OPENED_AT_ONCE: usize = 2;
 
+/// Agents of a region with one coordinator that keep a link to a coordinator of another region.
+const LOOKOUTS_ALONE: usize = 2;
+
+/// Agents of a region with several coordinators that do.
+const LOOKOUTS: usize = 1;
+
 /// Age at which a link that serves nothing any more is closed.
 const SURPLUS_AGE: Duration = Duration::from_secs(3);
 
@@ -154,17 +160,38 @@
         hash::pair(hash::address(self.me.address), hash::address(node.address))
     }
 
-    /// The agent that feeds its region from outside, and its deputy, keep a link to one more coordinator.
+    /// The agent that feeds its region from outside, and its deputy, keep a link to one more coordinator; a lookout one
+    /// to a coordinator of another region.
     fn maintain_standby(&mut self, now: Duration, out: &mut Vec<Action>) {
-        if !self.needs_standby() || self.standbys(now) > 0 {
+        let lookout = self.is_lookout();
+        let apart = |node: &Descriptor| !node.place.same_region(self.me.place);
+        let counted = |node: &Descriptor| !lookout || apart(node);
+        if !self.needs_standby() || self.standbys(now).any(|node| counted(&node)) {
             return;
         }
-        let next = self.coordinators_by_preference(now).first().copied();
+        let next = self.coordinators_by_preference(now).into_iter().find(counted);
         next.map(|node| self.open(now, node.address, out));
     }
 
     pub(super) fn needs_standby(&self) -> bool {
-        self.leads_region() || self.feed.deputy || !self.settings.guards.region_heads
+        self.leads_region() || self.feed.deputy || self.is_lookout() || !self.settings.guards.region_heads
+    }
+
+    /// Whether this agent looks out of its region for news that the coordinators inside may lack: the agents with the
+    /// best scores do, more of them where the region has a single coordinator. By the score alone, so that no change of
+    /// sources leaves the region without one.
+    fn is_lookout(&self) -> bool {
+        if !self.settings.guards.stable_standby {
+            return false;
+        }
+        let inside = self.view.coordinators().filter(|node| node.place.same_region(self.me.place)).count();
+        let lookouts = match inside {
+            0 => return false,
+            1 => LOOKOUTS_ALONE,
+            _ => LOOKOUTS,
+        };
+        let better = self.view.near().filter(|node| self.precedes(node));
+        better.filter(|node| !self.failures.contains_key(&node.address)).count() < lookouts
     }
 
     /// Coordinators that there is a link with, or that one is being opened to, without those that are silent.
@@ -175,15 +202,20 @@
         linked.chain(self.connecting.keys().filter_map(known))
     }
 
-    /// Live coordinators besides the source.
-    fn standbys(&self, now: Duration) -> usize {
-        self.live_coordinators(now).filter(|node| Some(node.address) != self.feed.source).count()
+    /// Live coordinators besides the source, without those that say that they are out of contact.
+    fn standbys(&self, now: Duration) -> impl Iterator<Item = Descriptor> {
+        let alone = |node: &Descriptor| {
+            let position = self.links.get(&node.address).map(|link| &link.position);
+            position == Some(&Position::Root { in_contact: false })
+        };
+        let others = self.live_coordinators(now).filter(|node| Some(node.address) != self.feed.source);
+        others.filter(move |node| !alone(node))
     }
 
     /// An agent closes links out of its region that neither feed it, nor are fed by it, nor stand by.
     fn close_surplus(&mut self, now: Duration, out: &mut Vec<Action>) {
-        let mut keep =
-            if !self.feed.position.is_attached() { usize::MAX } else { usize::from(self.needs_standby()) };
+        let in_contact = self.feed.position.is_in_contact();
+        let mut keep = usize::from(self.needs_standby());
         let asked = self.feed.asked.map(|(peer, _)| peer);
         let mut surplus = Vec::new();
         for (peer, link) in &self.links {
@@ -192,8 +224,9 @@
             if used || node.place.same_region(self.me.place) || link.opened + SURPLUS_AGE > now {
                 continue;
             }
-            if node.is_coordinator() && keep > 0 {
-                keep -= 1;
+            let alone = link.position == Position::Root { in_contact: false };
+            if node.is_coordinator() && (!in_contact || keep > 0 && !alone) {
+                keep = keep.saturating_sub(1);
                 continue;
             }
             surplus.push(*peer);
@@ -213,6 +246,6 @@
 
     /// Whether this node stands where its loss leaves its region without a source.
     pub(super) fn feeds_region(&self) -> bool {
-        self.feed.position == Position::Root || self.leads_region()
+        self.me.is_coordinator() || self.leads_region()
     }
 }
--- a/crates/overlay/src/settings.rs
+++ b/crates/overlay/src/settings.rs
@@ -21,6 +21,8 @@
     pub batch: Duration,
     /// Interval at which changes are announced on links that don't push them.
     pub announce: Duration,
+    /// Interval at which changes are announced on an agent's link out of its region that doesn't push them.
+    pub announce_far: Duration,
     /// How long an announced version may take to arrive by the tree before it is asked for.
     pub graft_delay: Duration,
     /// Interval of digest exchanges with a random neighbour.
@@ -76,6 +78,10 @@
     pub fanout_bound: bool,
     pub region_heads: bool,
     pub suspicion: bool,
+    pub contact: bool,
+    pub quick_announce: bool,
+    pub eager_relay: bool,
+    pub stable_standby: bool,
 }
 
 impl Default for Guards {
@@ -87,6 +93,10 @@
             fanout_bound: true,
             region_heads: true,
             suspicion: true,
+            contact: true,
+            quick_announce: true,
+            eager_relay: true,
+            stable_standby: true,
         }
     }
 }
@@ -102,6 +112,7 @@
             lazy_dead: Duration::from_millis(5_000),
             batch: Duration::from_millis(20),
             announce: Duration::from_millis(500),
+            announce_far: Duration::from_millis(100),
             graft_delay: Duration::from_millis(150),
             scrub: Duration::from_millis(2_000),
             shuffle: Duration::from_millis(5_000),
--- /dev/null
+++ b/crates/overlay/tests/overlay/contact.rs
@@ -0,0 +1,364 @@
+//! A coordinator that is cut off from the others, in a region of one zone that has no other: news of the majority still
+//! reaches every agent in time.
+
+use std::time::Duration;
+
+use ironmast_overlay::{Descriptor, Event, Guards, Place, Role, Settings};
+use rand::seq::SliceRandom as _;
+use rand::{RngExt as _, SeedableRng as _};
+use rand_xoshiro::Xoshiro256PlusPlus;
+
+use crate::plan::{Plan, address};
+use crate::sim::{Across, Sim, ms};
+
+/// Two coordinators in the first region and one in the second, each in a zone of its own.
+const COORDINATORS: Plan = Plan { coordinators: 3, agents: 0, regions: 2, zones: 2, core_regions: 2 };
+
+/// The coordinator that is cut off; the lone one of its region.
+const ALONE: usize = 1;
+
+/// Agents in the region of the other two.
+const ELSEWHERE: usize = 6;
+
+/// The configuration's key, and the bytes of one.
+const KEY: u64 = 7;
+const SIZE: usize = 3_000;
+
+/// Half of the time in which a configuration has to be in force.
+const LIMIT: Duration = ms(1_500);
+
+/// Time from its start in which a restarted agent isn't counted.
+const CATCH_UP: Duration = ms(4_000);
+
+/// Interval at which the coordinators' contact is looked at, and the loss after which they know of it.
+const LOOK: Duration = ms(50);
+const NOTICED: Duration = ms(1_000);
+
+/// Time for which a process that restarts is down.
+const DOWN: Duration = ms(300);
+
+/// Time from the first start to the cut, at random, and the cut's length.
+const CUT_FROM: std::ops::Range<u64> = 3_000..14_000;
+const CUT: Duration = ms(20_000);
+
+/// Changes are published from this long before the cut to this long after it.
+const AROUND: Duration = ms(2_500);
+
+/// Time between changes in milliseconds.
+const GAPS: std::ops::Range<u64> = 150..1_500;
+
+/// The way a coordinator is cut off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum How {
+    /// From the other coordinators; what is sent is held back.
+    Core,
+    /// The same, and what is sent is lost.
+    Lost,
+    /// From the other coordinators and from all nodes of other zones.
+    Near,
+    /// From all nodes.
+    All,
+    /// What it sends to the others is held back.
+    Outgoing,
+    /// What the others send to it is held back.
+    Incoming,
+    /// Connections are reset.
+    Reset,
+    /// Connections are reset and new ones refused.
+    Refused,
+    /// It restarts, then the other coordinators do.
+    Both,
+    /// New seeds begin with it, and some nodes are restarted.
+    Seeds,
+}
+
+const ALL: [How; 10] = [
+    How::Core,
+    How::Lost,
+    How::Near,
+    How::All,
+    How::Outgoing,
+    How::Incoming,
+    How::Reset,
+    How::Refused,
+    How::Both,
+    How::Seeds,
+];
+
+impl How {
+    fn across(self) -> Across {
+        match self {
+            How::Lost => Across::Lost,
+            How::Reset => Across::Reset,
+            How::Refused => Across::Refused,
+            _ => Across::Held,
+        }
+    }
+
+    /// Whether what `from` sends to `to` is cut.
+    fn cuts(self, from: &Descriptor, to: &Descriptor) -> bool {
+        let alone = |node: &Descriptor| node.address == address(ALONE);
+        if alone(from) == alone(to) {
+            return false;
+        }
+        let core = from.is_coordinator() && to.is_coordinator();
+        match self {
+            How::All => true,
+            How::Near => core || from.place != to.place,
+            How::Outgoing => core && alone(from),
+            How::Incoming => core && alone(to),
+            _ => core,
+        }
+    }
+}
+
+/// What a script does.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Boot(usize),
+    Kill(usize),
+    Cut,
+    Heal,
+    NewSeeds,
+    Publish,
+}
+
+struct Published {
+    version: u64,
+    at: Duration,
+    by: usize,
+}
+
+struct Day {
+    sim: Sim,
+    how: How,
+    random: Xoshiro256PlusPlus,
+    script: Vec<(Duration, Step)>,
+    /// Whether coordinators notice that they are out of contact.
+    notices: bool,
+    lost_since: [Option<Duration>; 3],
+    published: Vec<Published>,
+    /// Starts and ends of processes.
+    restarts: Vec<(usize, Duration)>,
+}
+
+impl Day {
+    fn new(how: How, lone: usize, guards: Guards, notices: bool, seed: u64) -> Day {
+        let settings = Settings { guards, ..Settings::default() };
+        let mut sim = Sim::new(COORDINATORS, settings, seed);
+        let places = (0..ELSEWHERE).map(|agent| Place { region: 0, zone: agent as u32 % 2 });
+        let places = places.chain((0..lone).map(|_| COORDINATORS.descriptor(ALONE).place));
+        for (agent, place) in places.enumerate() {
+            let address = address(COORDINATORS.coordinators + agent);
+            sim.place(Descriptor { address, place, role: Role::Agent, incarnation: 0 });
+        }
+        let random = Xoshiro256PlusPlus::seed_from_u64(seed);
+        let (script, published, restarts) = Default::default();
+        let mut day = Day { sim, how, random, script, notices, lost_since: [None; 3], published, restarts };
+        day.write();
+        day
+    }
+
+    fn write(&mut self) {
+        for node in 0..self.sim.nodes.len() {
+            let at = ms(self.random.random_range(0..300));
+            self.script.push((at, Step::Boot(node)));
+        }
+        let cut = ms(self.random.random_range(CUT_FROM));
+        self.script.extend([(cut, Step::Cut), (cut + CUT, Step::Heal)]);
+        match self.how {
+            How::Both => self.restart_coordinators(cut),
+            How::Seeds => self.restart_some(cut),
+            _ => {}
+        }
+        let mut at = cut - AROUND;
+        while at < cut + CUT + AROUND {
+            self.script.push((at, Step::Publish));
+            at += ms(self.random.random_range(GAPS));
+        }
+        self.script.sort_by_key(|(at, _)| *at);
+    }
+
+    fn restart(&mut self, at: Duration, node: usize) {
+        self.script.extend([(at, Step::Kill(node)), (at + DOWN, Step::Boot(node))]);
+    }
+
+    fn restart_coordinators(&mut self, cut: Duration) {
+        let mut at = cut + ms(self.random.random_range(200..6_000));
+        for node in [ALONE, 0, 2] {
+            self.restart(at, node);
+            at += ms(self.random.random_range(3_000..5_000));
+        }
+    }
+
+    fn restart_some(&mut self, cut: Duration) {
+        self.script.push((cut + ms(500), Step::NewSeeds));
+        let mut nodes: Vec<usize> = (0..self.sim.nodes.len()).collect();
+        nodes.shuffle(&mut self.random);
+        nodes.truncate(nodes.len() / 3);
+        for node in nodes {
+            let at = cut + ms(self.random.random_range(600..8_000));
+            self.restart(at, node);
+        }
+    }
+
+    /// Runs the day; how long each change took to each agent that counts, sorted.
+    fn run(mut self) -> Vec<Duration> {
+        self.sim.cut_with(Across::Held, |_, _| false);
+        for (at, step) in std::mem::take(&mut self.script) {
+            self.run_until(at);
+            self.act(step);
+        }
+        self.run_until(self.sim.now + LIMIT * 4);
+        let mut delays = self.delays();
+        delays.sort();
+        delays
+    }
+
+    fn act(&mut self, step: Step) {
+        match step {
+            Step::Boot(node) => self.boot(node),
+            Step::Kill(node) => {
+                self.restarts.push((node, self.sim.now));
+                self.sim.kill(node);
+            }
+            Step::Cut => {
+                let how = self.how;
+                self.sim.cut_with(how.across(), move |from, to| how.cuts(from, to));
+            }
+            Step::Heal => self.sim.cut_with(Across::Held, |_, _| false),
+            Step::NewSeeds => {
+                self.sim.seeds.sort_by_key(|seed| *seed != address(ALONE));
+                for node in 0..self.sim.nodes.len() {
+                    let seeds = self.sim.seeds.clone();
+                    self.sim.give(node, Event::Seeds(seeds));
+                }
+            }
+            Step::Publish => self.publish(),
+        }
+    }
+
+    fn boot(&mut self, node: usize) {
+        self.restarts.push((node, self.sim.now));
+        self.sim.boot(node);
+        if node >= COORDINATORS.coordinators {
+            return;
+        }
+        if self.notices {
+            self.sim.give(node, Event::InContact(false));
+        }
+        self.lost_since[node] = Some(Duration::ZERO);
+        // From its disk.
+        let held = self.published.iter().rev().find(|published| published.by == node);
+        if let Some(version) = held.map(|published| published.version) {
+            self.sim.publish(node, KEY, version, SIZE);
+        }
+    }
+
+    fn publish(&mut self) {
+        let others: Vec<usize> = [0, 2].into_iter().filter(|node| self.sim.is_up(*node)).collect();
+        let Some(by) = others.get(self.random.random_range(0..2) % others.len().max(1)).copied() else {
+            return;
+        };
+        let version = self.published.len() as u64 + 1;
+        let at = self.sim.publish(by, KEY, version, SIZE);
+        self.published.push(Published { version, at, by });
+    }
+
+    fn run_until(&mut self, at: Duration) {
+        while self.sim.now < at {
+            self.sim.run_for(LOOK.min(at - self.sim.now));
+            self.look();
+        }
+    }
+
+    /// Tells each coordinator whether it reaches a majority, late when it has lost it.
+    fn look(&mut self) {
+        for node in (0..3).filter(|_| self.notices) {
+            let reached = (0..3).filter(|peer| *peer == node || self.sim.reaches(node, *peer)).count();
+            if reached >= 2 {
+                if self.lost_since[node].take().is_some() {
+                    self.sim.give(node, Event::InContact(true));
+                }
+            } else {
+                let since = *self.lost_since[node].get_or_insert(self.sim.now);
+                if self.sim.now >= since + NOTICED {
+                    self.sim.give(node, Event::InContact(false));
+                }
+            }
+        }
+    }
+
+    /// Whether the process of `node` started or ended between these times.
+    fn restarted(&self, node: usize, from: Duration, to: Duration) -> bool {
+        self.restarts.iter().any(|(other, at)| *other == node && from <= *at && *at <= to)
+    }
+
+    fn delays(&self) -> Vec<Duration> {
+        let mut delays = Vec::new();
+        for published in &self.published {
+            let end = published.at + LIMIT;
+            if self.restarted(published.by, published.at, end) {
+                continue;
+            }
+            for agent in COORDINATORS.coordinators..self.sim.nodes.len() {
+                if !self.restarted(agent, published.at.saturating_sub(CATCH_UP), end) {
+                    delays.push(self.delay(published, agent));
+                }
+            }
+        }
+        delays
+    }
+
+    /// Time until `agent` held this version or a newer one; the rest of the day if it never did.
+    fn delay(&self, published: &Published, agent: usize) -> Duration {
+        let newer = self.published.iter().filter(|other| other.version >= published.version);
+        let arrivals = newer.filter_map(|other| self.sim.arrivals.get(&(KEY, other.version))?.get(&agent));
+        let first = arrivals.min().copied().unwrap_or(self.sim.now);
+        let delay = first.saturating_sub(published.at);
+        if delay > LIMIT && std::env::var("TRACE").is_ok() {
+            println!(
+                "  {:?} published at {:?} by {}: agent {agent} after {delay:?}",
+                published.version, published.at, published.by
+            );
+        }
+        delay
+    }
+}
+
+/// Delays over these seeds, all ways of cutting and numbers of agents, sorted.
+fn delays(seeds: std::ops::Range<u64>, how: &[How], guards: &Guards, notices: bool) -> Vec<Duration> {
+    let mut all = Vec::new();
+    for how in how {
+        let mut delays = Vec::new();
+        for seed in seeds.clone() {
+            let lone = 2 + (seed % 9) as usize;
+            delays.extend(Day::new(*how, lone, guards.clone(), notices, seed).run());
+        }
+        delays.sort();
+        print(&format!("{how:?}"), &delays);
+        all.extend(delays);
+    }
+    all.sort();
+    print("all", &all);
+    all
+}
+
+fn print(name: &str, delays: &[Duration]) {
+    let at = |part: usize| delays[(delays.len() - 1) * part / 1_000];
+    let late = delays.iter().filter(|delay| **delay > LIMIT).count();
+    println!(
+        "{name}: {} arrivals, p50 {:?} p99 {:?} p99.9 {:?} worst {:?}, {late} late",
+        delays.len(),
+        at(500),
+        at(990),
+        at(999),
+        at(1_000)
+    );
+}
+
+#[test]
+fn news_reaches_every_agent_in_time_while_a_coordinator_is_cut_off() {
+    let delays = delays(0..9, &ALL, &Guards::default(), true);
+    assert!(delays.last() <= Some(&LIMIT));
+}
--- a/crates/overlay/tests/overlay/main.rs
+++ b/crates/overlay/tests/overlay/main.rs
@@ -4,6 +4,7 @@
 mod sim;
 mod traffic;
 
+mod contact;
 mod costs;
 mod faults;
 mod guards;
--- a/crates/overlay/tests/overlay/sim.rs
+++ b/crates/overlay/tests/overlay/sim.rs
@@ -37,11 +37,35 @@
 
 #[derive(Debug)]
 enum Happening {
-    Deliver { from: usize, to: usize, connection: u64, message: Box<Message> },
-    Establish { from: usize, to: usize },
-    Connected { node: usize, peer: usize, connection: u64 },
-    Disconnected { node: usize, peer: usize, connection: Option<u64> },
-    Timer { node: usize },
+    Deliver {
+        from: usize,
+        to: usize,
+        connection: u64,
+        message: Box<Message>,
+    },
+    Establish {
+        from: usize,
+        to: usize,
+    },
+    Connected {
+        node: usize,
+        peer: usize,
+        connection: u64,
+    },
+    Disconnected {
+        node: usize,
+        peer: usize,
+        connection: Option<u64>,
+    },
+    /// Bytes sent on this connection are still unacknowledged.
+    Unacknowledged {
+        node: usize,
+        peer: usize,
+        connection: u64,
+    },
+    Timer {
+        node: usize,
+    },
 }
 
 struct Queued {
@@ -72,6 +96,23 @@
 
 type Cut = Box<dyn Fn(&Descriptor, &Descriptor) -> bool>;
 
+/// How long sent bytes may stay unacknowledged before the sender's system gives the connection up.
+const USER_TIMEOUT: Duration = ms(2_000);
+
+/// What becomes of messages and connections across a cut.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Across {
+    /// Messages are lost, connections stay.
+    #[default]
+    Lost,
+    /// Messages arrive after the cut, unless the connection has been given up.
+    Held,
+    /// Connections are reset as the cut begins; new ones hang.
+    Reset,
+    /// Connections are reset as the cut begins; new ones are refused.
+    Refused,
+}
+
 pub struct Sim {
     pub now: Duration,
     pub plan: Plan,
@@ -85,6 +126,9 @@
     /// Versions told after newer ones.
     pub setbacks: usize,
     cut: Cut,
+    across: Across,
+    /// What waits for the end of a cut: sender, receiver, connection, message.
+    held: Vec<(usize, usize, u64, Message)>,
     queue: BinaryHeap<Reverse<Queued>>,
     order: u64,
     connections: u64,
@@ -97,8 +141,17 @@
 impl Sim {
     /// All nodes of `plan` started within a second of each other, with up to three coordinators as seeds.
     pub fn start(plan: Plan, settings: Settings, seed: u64) -> Sim {
+        let mut sim = Sim::new(plan, settings, seed);
+        for node in 0..plan.len() {
+            sim.boot(node);
+        }
+        sim
+    }
+
+    /// The nodes of `plan`, none of which runs.
+    pub fn new(plan: Plan, settings: Settings, seed: u64) -> Sim {
         let nodes = (0..plan.len()).map(|at| Node::new(plan.descriptor(at))).collect();
-        let mut sim = Sim {
+        Sim {
             now: Duration::ZERO,
             plan,
             settings,
@@ -108,17 +161,15 @@
             arrivals: BTreeMap::new(),
             setbacks: 0,
             cut: Box::new(|_, _| false),
+            across: Across::Lost,
+            held: Vec::new(),
             queue: BinaryHeap::new(),
             order: 0,
             connections: 0,
             opening: BTreeSet::new(),
             last: BTreeMap::new(),
             random: Xoshiro256PlusPlus::seed_from_u64(seed),
-        };
-        for node in 0..plan.len() {
-            sim.boot(node);
         }
-        sim
     }
 
     /// Starts the process of `node` with a new incarnation.
@@ -135,11 +186,16 @@
 
     /// Adds a node that was not part of the plan.
     pub fn add(&mut self, descriptor: Descriptor) -> usize {
-        self.nodes.push(Node::new(descriptor));
+        self.place(descriptor);
         self.boot(self.nodes.len() - 1);
         self.nodes.len() - 1
     }
 
+    /// Adds a node that does not run yet.
+    pub fn place(&mut self, descriptor: Descriptor) {
+        self.nodes.push(Node::new(descriptor));
+    }
+
     /// Ends a process: its neighbours see closed connections.
     pub fn kill(&mut self, node: usize) {
         let peers: Vec<(usize, u64)> =
@@ -192,13 +248,51 @@
     }
 
     pub fn cut(&mut self, cut: impl Fn(&Descriptor, &Descriptor) -> bool + 'static) {
+        self.cut_with(Across::Lost, cut);
+    }
+
+    /// Cuts the pairs, of sender and receiver, that `cut` selects.
+    pub fn cut_with(&mut self, across: Across, cut: impl Fn(&Descriptor, &Descriptor) -> bool + 'static) {
         self.cut = Box::new(cut);
+        self.across = across;
+        self.release();
+        if matches!(across, Across::Reset | Across::Refused) {
+            self.reset_across();
+        }
     }
 
     pub fn heal(&mut self) {
         self.cut(|_, _| false);
     }
 
+    /// Sends on what no cut holds any more.
+    fn release(&mut self) {
+        for (from, to, connection, message) in std::mem::take(&mut self.held) {
+            if self.is_cut(from, to) {
+                self.held.push((from, to, connection, message));
+            } else if self.nodes[from].connections.get(&to) == Some(&connection) {
+                let at = self.arrival(from, to);
+                self.push(at, Happening::Deliver { from, to, connection, message: Box::new(message) });
+            }
+        }
+    }
+
+    fn reset_across(&mut self) {
+        let ends = self.nodes.iter().enumerate().flat_map(|(node, state)| {
+            state.connections.iter().map(move |(peer, connection)| (node, *peer, *connection))
+        });
+        for (node, peer, connection) in ends.collect::<Vec<_>>() {
+            if self.is_cut(node, peer) || self.is_cut(peer, node) {
+                self.happen(Happening::Disconnected { node, peer, connection: Some(connection) });
+            }
+        }
+    }
+
+    /// Whether both nodes run and messages pass in both directions.
+    pub fn reaches(&self, from: usize, to: usize) -> bool {
+        self.is_up(from) && self.is_up(to) && !self.is_cut(from, to) && !self.is_cut(to, from)
+    }
+
     pub fn publish(&mut self, node: usize, key: u64, version: u64, size: usize) -> Duration {
         let payload: Arc<[u8]> = Arc::from(vec![(key ^ version) as u8; size]);
         self.give(node, Event::Publish { key, version, payload });
@@ -220,6 +314,13 @@
             Happening::Deliver { from, to, connection, message } => {
                 if self.nodes[to].connections.get(&from) == Some(&connection) {
                     self.deliver(from, to, *message);
+                } else if self.across == Across::Held {
+                    self.tell_closed(to, from, connection);
+                }
+            }
+            Happening::Unacknowledged { node, peer, connection } => {
+                if self.is_cut(node, peer) || self.is_cut(peer, node) {
+                    self.happen(Happening::Disconnected { node, peer, connection: Some(connection) });
                 }
             }
             Happening::Establish { from, to } => self.establish(from, to),
@@ -256,10 +357,12 @@
 
     /// The opening packet of a connection has come back.
     fn establish(&mut self, from: usize, to: usize) {
-        if !self.is_up(from) || self.nodes[to].dark || self.is_cut(from, to) || self.is_cut(to, from) {
+        let cut = self.is_cut(from, to) || self.is_cut(to, from);
+        let refused = self.across == Across::Refused;
+        if !self.is_up(from) || self.nodes[to].dark || cut && !refused {
             return;
         }
-        if !self.is_up(to) {
+        if !self.is_up(to) || cut {
             return self.happen(Happening::Disconnected { node: from, peer: to, connection: None });
         }
         if self.nodes[from].connections.contains_key(&to) || self.opening.contains(&(to, from)) {
@@ -318,6 +421,10 @@
     fn send(&mut self, from: usize, to: usize, message: Message) {
         let Some(connection) = self.nodes[from].connections.get(&to).copied() else { return };
         self.count(from, to, &message);
+        if self.across == Across::Held && self.is_blocked(from, to, connection) {
+            self.held.push((from, to, connection, message));
+            return;
+        }
         if self.is_cut(from, to) || self.loss > 0.0 && self.random.random_bool(self.loss) {
             return;
         }
@@ -325,6 +432,16 @@
         self.push(at, Happening::Deliver { from, to, connection, message: Box::new(message) });
     }
 
+    /// Whether the cut holds what is sent; where it holds at least the acknowledgement, the connection fails in time.
+    fn is_blocked(&mut self, from: usize, to: usize, connection: u64) -> bool {
+        let blocked = self.is_cut(from, to);
+        if blocked || self.is_cut(to, from) {
+            let at = self.now + USER_TIMEOUT;
+            self.push(at, Happening::Unacknowledged { node: from, peer: to, connection });
+        }
+        blocked
+    }
+
     fn count(&mut self, from: usize, to: usize, message: &Message) {
         let size = wire_size(message);
         let far = !self.nodes[from].descriptor.place.same_region(self.nodes[to].descriptor.place);
--- a/crates/overlay/tests/overlay/spread.rs
+++ b/crates/overlay/tests/overlay/spread.rs
@@ -87,7 +87,7 @@
     let positions =
         others.filter_map(|node| sim.nodes[node].overlay.as_ref()).map(|overlay| overlay.position());
     let independent = |position: &&Position| match position {
-        Position::Root => true,
+        Position::Root { .. } => true,
         Position::Detached => false,
         Position::Under { path, .. } => !path.iter().any(|node| avoided.contains(&Some(*node))),
     };
