--- a/crates/mesh/src/driver.rs
+++ b/crates/mesh/src/driver.rs
@@ -89,6 +89,8 @@
             Command::Publish(key, version, payload) => self.handle(Event::Publish { key, version, payload }),
             Command::Remove(key, version) => self.handle(Event::Remove { key, version }),
             Command::Seeds(seeds) => self.handle(Event::Seeds(seeds)),
+            // The overlay does not distinguish beats yet.
+            Command::InContact(_) => {}
             Command::Leave => self.handle(Event::Leave),
         }
     }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -26,6 +26,8 @@
     Remove(OverlayKey, u64),
     /// Where coordinators are.
     Seeds(Vec<SocketAddr>),
+    /// Whether this coordinator is in contact with a majority of the replicas.
+    InContact(bool),
     /// The node is about to end.
     Leave,
 }
@@ -78,6 +80,12 @@
         self.tell(Command::Remove(key(of), version));
     }
 
+    /// Tells whether this coordinator is in contact with a majority of the register's replicas. Beats of one that
+    /// isn't make nobody fresh.
+    pub fn set_in_contact(&self, in_contact: bool) {
+        self.tell(Command::InContact(in_contact));
+    }
+
     /// Tells the neighbours that this node ends.
     pub fn leave(&self) {
         self.tell(Command::Leave);
