control: a coordinator tells whether it is in contact with a majority

Alive carries the field, so that agents can choose their link by it. The version of the frames rises to 2. It is always true until contact is measured.

--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -247,7 +247,8 @@
         let coordinators: Vec<SocketAddr> = self.coordinators.iter().copied().collect();
         self.subscribers.retain(|_, (to, coordinator)| {
             let heard = if *coordinator { fresh.clone() } else { Vec::new() };
-            to.send(FromCoordinator::Alive { coordinators: coordinators.clone(), heard }).is_ok()
+            to.send(FromCoordinator::Alive { coordinators: coordinators.clone(), heard, in_contact: true })
+                .is_ok()
         });
     }
 
@@ -286,7 +287,7 @@
 
     /// Takes a frame of another coordinator; returns the coordinators that it knows.
     pub fn take_coordinator_frame(&mut self, frame: FromCoordinator) -> Vec<SocketAddr> {
-        let FromCoordinator::Alive { coordinators, heard } = frame;
+        let FromCoordinator::Alive { coordinators, heard, .. } = frame;
         let now = self.now();
         self.catalog.alive(now, &heard);
         coordinators
--- a/crates/schema/src/control.rs
+++ b/crates/schema/src/control.rs
@@ -9,7 +9,7 @@
 use crate::registration::Heartbeat;
 
 /// The version of these frames.
-pub const PROTOCOL_VERSION: u16 = 1;
+pub const PROTOCOL_VERSION: u16 = 2;
 
 /// Names one piece of distributed state.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -108,6 +108,8 @@
         coordinators: Vec<SocketAddr>,
         /// Of what it has heard of since the last such frame, the sequence or version; for coordinators only.
         heard: Vec<(Key, u64)>,
+        /// It is in contact with a majority of the register's replicas and holds their newest state.
+        in_contact: bool,
     },
 }
 
--- a/crates/schema/src/control/tests.rs
+++ b/crates/schema/src/control/tests.rs
@@ -102,8 +102,9 @@
     fn what_a_coordinator_says_comes_whole(
         heard in heard(),
         coordinators in prop::collection::vec(address(), 0..5),
+        in_contact: bool,
     ) {
-        assert_whole(&FromCoordinator::Alive { coordinators, heard });
+        assert_whole(&FromCoordinator::Alive { coordinators, heard, in_contact });
     }
 
     #[test]
