register: a node measures its contact with a majority of the replicas

Nothing told a coordinator that it was cut off: announcements are not answered, and the steward notes only when it heard whom, which a one-way cut, a frozen process or an outdated replica set makes worthless.

Every quarter of the bound (250 ms by default) a node asks all coordinators known; each answers at once. Contact is as old as the asking of the newest question that a majority has answered, of both sets while two are held, the own vote counting at every moment. An answer tells the newest state held and a fingerprint of its replica set: one that holds a newer set doesn't count, and that state is fetched. So a majority of an outdated set gives no contact: every newer set is accepted by a majority of the one before. Late answers count from their asking; numbers of an earlier life aren't known; a wiped peer answers under another identity.

--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod acceptor;
 pub mod ballot;
+pub mod contact;
 pub mod guard;
 pub mod learner;
 pub mod message;
--- a/crates/register/src/message.rs
+++ b/crates/register/src/message.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ballot::{Ballot, Identity};
+use crate::contact::QuestionNumber;
 use crate::state::Proposal;
 
 /// Number of a proposer's round; replies to any round but the present one are ignored.
@@ -125,6 +126,17 @@
     pub leaving: bool,
 }
 
+/// The answer to a question, and what the answering node holds of the replica set.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Echo {
+    /// Number of the question.
+    pub number: QuestionNumber,
+    /// Ballot of the newest state held, chosen or only accepted.
+    pub newest: Ballot,
+    /// [`Membership::fingerprint`](crate::Membership::fingerprint) of that state; zero without one.
+    pub members: u64,
+}
+
 /// The content of a message.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Body<V> {
@@ -141,4 +153,11 @@
     },
     /// A chosen state.
     State(Proposal<V>),
+    /// Asks whether the replica is there.
+    Question {
+        /// Number of the question.
+        number: QuestionNumber,
+    },
+    /// Answers a question, at once.
+    Echo(Echo),
 }
--- a/crates/register/src/node.rs
+++ b/crates/register/src/node.rs
@@ -7,11 +7,12 @@
 
 use crate::acceptor::{Acceptor, Addressed, Record};
 use crate::ballot::{Ballot, Identity};
+use crate::contact::{Contact, QuestionNumber};
 use crate::learner::Learner;
-use crate::message::{Announcement, Answer, Body, Digest, Message, Reply, Request};
+use crate::message::{Announcement, Answer, Body, Digest, Echo, Message, Reply, Request};
 use crate::proposer::{Context, Counters, Effect, Proposer};
 use crate::random::Random;
-use crate::replicas::Replica;
+use crate::replicas::{Membership, Replica};
 use crate::settings::Settings;
 use crate::state::{Proposal, State};
 use crate::steward::Steward;
@@ -35,6 +36,7 @@
     peers: BTreeSet<SocketAddr>,
     leaving: bool,
     steward: Steward,
+    contact: Contact,
     background: background::Background,
     timer: Option<Duration>,
 }
@@ -55,6 +57,7 @@
         let replica =
             Replica { identity: acceptor.identity(), address: place.address, zone: place.zone.clone() };
         let steward = Steward::new(replica, &settings);
+        let contact = Contact::new(settings.contact, Random::new(!seed).next() >> 32);
         let proposer = Proposer::new(acceptor.identity(), used, random.next(), settings.clone());
         Self {
             place,
@@ -65,6 +68,7 @@
             peers: BTreeSet::new(),
             leaving: false,
             steward,
+            contact,
             background: background::Background::default(),
             timer: None,
             settings,
@@ -86,6 +90,26 @@
         self.chosen().is_some_and(|state| state.members.contains(self.identity()))
     }
 
+    /// When the newest question was asked that a majority of the replicas has answered; both majorities where two
+    /// sets are held. Nothing before the first such answers, or before any replica set is known.
+    pub fn contact_since(&self, now: Duration) -> Option<Duration> {
+        self.contact.since(now, self.identity(), self.members()?)
+    }
+
+    /// Whether a majority has answered a question asked within the bound of the settings.
+    pub fn is_in_contact(&self, now: Duration) -> bool {
+        self.members().is_some_and(|members| self.contact.is_held(now, self.identity(), members))
+    }
+
+    /// The newest state held, chosen or only accepted.
+    fn newest(&self) -> Option<&Proposal<V>> {
+        [self.learner.chosen(), self.acceptor.accepted()].into_iter().flatten().max_by_key(|held| held.ballot)
+    }
+
+    fn members(&self) -> Option<&Membership> {
+        self.newest().map(|held| &held.state.members)
+    }
+
     /// Counts of the proposer's rounds.
     pub fn counters(&self) -> Counters {
         self.proposer.counters()
@@ -108,6 +132,7 @@
             Event::Submit { id, operation, deadline } => self.proposer.submit(Some(id), operation, deadline),
             Event::Peers(addresses) => self.set_peers(addresses),
             Event::Leaving => self.leave(actions),
+            Event::Question => self.contact.hasten(),
             Event::Timer => self.timer = None,
         }
         self.tend(now, actions);
@@ -149,6 +174,34 @@
                 }
             }
             Body::State(proposal) => self.learn(&proposal, actions),
+            Body::Question { number } => self.send(address, Body::Echo(self.echo(number)), actions),
+            Body::Echo(echo) => self.take_echo(now, sender, address, echo, actions),
+        }
+    }
+
+    fn echo(&self, number: QuestionNumber) -> Echo {
+        let newest = self.newest();
+        Echo {
+            number,
+            newest: newest.map_or(Ballot::ZERO, |held| held.ballot),
+            members: newest.map_or(0, |held| held.state.members.fingerprint()),
+        }
+    }
+
+    /// Counts an answer, unless its sender holds a newer replica set: that is asked for first.
+    fn take_echo(
+        &mut self,
+        now: Duration,
+        sender: Identity,
+        address: SocketAddr,
+        echo: Echo,
+        actions: &mut Vec<Action<V>>,
+    ) {
+        let own = self.echo(echo.number);
+        let is_outdated = echo.newest > own.newest && echo.members != own.members;
+        match is_outdated {
+            true => self.fetch(now, address, echo.newest, actions),
+            false => self.contact.answer(sender, echo.number),
         }
     }
 
@@ -291,13 +344,28 @@
 
     /// Tells all coordinators known what is chosen here.
     fn announce(&self, actions: &mut Vec<Action<V>>) {
-        let members = self.chosen().into_iter().flat_map(|state| state.members.replicas());
+        for address in self.others() {
+            self.send(address, self.announcement(), actions);
+        }
+    }
+
+    /// Asks all coordinators known whether they are there, when it is time.
+    fn question(&mut self, now: Duration, actions: &mut Vec<Action<V>>) {
+        let Some(number) = self.contact.ask(now) else {
+            return;
+        };
+        for address in self.others() {
+            self.send(address, Body::Question { number }, actions);
+        }
+    }
+
+    /// Addresses of all other coordinators known, members or not.
+    fn others(&self) -> BTreeSet<SocketAddr> {
+        let members = self.members().into_iter().flat_map(Membership::replicas);
         let mut addresses = self.peers.clone();
         addresses.extend(members.map(|replica| replica.address));
         addresses.remove(&self.place.address);
-        for address in addresses {
-            self.send(address, self.announcement(), actions);
-        }
+        addresses
     }
 
     fn send(&self, to: SocketAddr, body: Body<V>, actions: &mut Vec<Action<V>>) {
@@ -312,7 +380,7 @@
     }
 
     fn set_timer(&mut self, now: Duration, actions: &mut Vec<Action<V>>) {
-        let due = self.proposer.wake().into_iter().chain([self.background.wake()]).min();
+        let due = self.proposer.wake().into_iter().chain([self.background.wake(), self.contact.wake()]).min();
         let due = due.map(|at| at.max(now));
         if due != self.timer {
             self.timer = due;
--- a/crates/register/src/node/background.rs
+++ b/crates/register/src/node/background.rs
@@ -50,6 +50,7 @@
             self.background.announce_at = now + self.settings.announce;
             self.announce(actions);
         }
+        self.question(now, actions);
         if now >= self.background.steward_at {
             self.background.steward_at = now + STEWARD_INTERVAL;
             self.change_replicas(now);
--- a/crates/register/src/node/event.rs
+++ b/crates/register/src/node/event.rs
@@ -32,6 +32,9 @@
     Peers(Vec<SocketAddr>),
     /// The machine is about to stop for good.
     Leaving,
+    /// Whether a majority is there is to be asked at once: [`Node::contact_since`](crate::Node::contact_since) rises
+    /// to this moment when it has answered.
+    Question,
     /// The time last asked for by [`Action::Timer`] has come. Must also be the first event of a node.
     Timer,
 }
--- a/crates/register/src/replicas.rs
+++ b/crates/register/src/replicas.rs
@@ -5,6 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ballot::Identity;
+use crate::random::Random;
 
 /// One replica of the register.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -125,6 +126,16 @@
         self.replicas().any(|replica| replica.identity == identity)
     }
 
+    /// A number that differs between memberships of different identities.
+    pub fn fingerprint(&self) -> u64 {
+        let sets = [Some(&self.current), self.next.as_ref()].into_iter().flatten();
+        let numbers = sets.flat_map(|set| {
+            let size = set.len() as u64;
+            std::iter::once(size).chain(set.replicas().iter().map(|replica| replica.identity.0))
+        });
+        numbers.fold(0, |mixed, number| Random::new(mixed ^ number).next())
+    }
+
     /// Whether those that voted are a majority of each set held.
     pub fn is_quorum(&self, voted: impl Fn(Identity) -> bool) -> bool {
         let next = self.next.as_ref().is_none_or(|set| set.has_majority(&voted));
--- a/crates/register/src/settings.rs
+++ b/crates/register/src/settings.rs
@@ -27,6 +27,8 @@
     pub unreachable: Duration,
     /// Wait before a replica change, for each live member of smaller identity.
     pub steward_stagger: Duration,
+    /// A majority that has answered no question asked within this time is out of contact.
+    pub contact: Duration,
     /// Number of replicas aimed at.
     pub target: usize,
     /// Safety guards; all in force outside mutation tests.
@@ -53,6 +55,7 @@
             announce: Duration::from_millis(500),
             unreachable: Duration::from_millis(1_500),
             steward_stagger: Duration::from_millis(400),
+            contact: Duration::from_millis(1_000),
             target: 3,
             guards: Guards::default(),
         }
--- a/crates/register/tests/encoding.rs
+++ b/crates/register/tests/encoding.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use ironmast_register::message::{Announcement, Answer, Ask, Body, Digest, Reply, Report, Request};
+use ironmast_register::message::{Announcement, Answer, Ask, Body, Digest, Echo, Reply, Report, Request};
 use ironmast_register::state::Proposal;
 use ironmast_register::{Ballot, Identity, Message, Record};
 
@@ -35,6 +35,8 @@
         Body::Announce(Announcement { chosen, zone: "a".to_owned(), leaving: true }),
         Body::Fetch { known: BALLOT },
         Body::State(proposal),
+        Body::Question { number: 70_000 },
+        Body::Echo(Echo { number: 70_000, newest: BALLOT, members: u64::MAX }),
     ]
 }
 
--- a/crates/register/tests/mutations.rs
+++ b/crates/register/tests/mutations.rs
@@ -12,7 +12,7 @@
 use support::value::Change;
 use support::world::World;
 
-const MOST_SEEDS: u64 = 400;
+const MOST_SEEDS: u64 = 4_000;
 const LIMIT: Duration = Duration::from_secs(2);
 
 /// Whether the violation is of safety, not of progress.
