coordinator: it acknowledges nothing without contact with a majority

The state of a coordinator is explicit (standing.rs): starting, catching up, in contact, out of contact, leaving; one table says what each gets. Contact is lost after a third of the shortest of config_apply_ms, drain_timeout_ms, evacuation_ms and contact_ms, 600 ms at least. It is looked at before every answer, so that a process that stood still acknowledges nothing, though no timer has run. On return the newest state is read from a quorum before anything is acknowledged or called fresh. Out of contact: 503 for orders, reads and servers (whose words are still taken in and spread); beats make nobody fresh; nobody is called silent; the directory names gates of the client's region that speak to this coordinator itself. An answer of the register that comes when contact is lost is withheld.

draining and DELETE are acknowledged once a majority of the coordinators holds the word: it goes to them directly, with a question behind it on the same link. DELETE of a server that isn't known here gets 503 instead of a 200 that nobody hears.

The catalog tells gates heard here from those that others hear, and names no gate that it hasn't heard within its patience.

--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -2,6 +2,8 @@
 //! heard of lately, and the operator's state. No I/O: whoever drives it passes the time and sends what it returns.
 #![forbid(unsafe_code)]
 
+use std::net::SocketAddr;
+
 use ironmast_schema::control::{ControlState, Entry, GateRecord, InstanceRecord, Key, Standing, Value};
 use ironmast_schema::registration::{Heartbeat, InstanceState};
 use rustc_hash::FxHashMap;
@@ -32,6 +34,8 @@
 struct Heard {
     at: Micros,
     sequence: u64,
+    /// When it last spoke to this coordinator itself.
+    here: Option<Micros>,
 }
 
 /// What an entry from elsewhere has led to.
@@ -164,6 +168,11 @@
         self.fresh.drain().collect()
     }
 
+    /// This coordinator has been without the others' word until now: nobody's silence before counts.
+    pub fn resume(&mut self, now: Micros) {
+        self.started = now;
+    }
+
     /// Finds who has fallen silent; returns what others must be told.
     pub fn expire(&mut self, now: Micros) -> Vec<Entry> {
         // Guards the list against emptying while this coordinator itself hears nobody.
@@ -171,18 +180,19 @@
             || now > self.last_heartbeat + self.patience.instance / 2;
         let mut out = Vec::new();
         for (key, entry) in &mut self.entries {
-            let unheard = Heard { at: self.started, sequence: 0 };
+            let unheard = Heard { at: self.started, sequence: 0, here: None };
             let heard = self.heard.get(key).copied().unwrap_or(unheard);
+            let silent_since = heard.at.max(self.started);
             match &mut entry.value {
                 Value::Instance(record) if record.standing == Standing::Present => {
-                    if deaf || now <= heard.at + self.patience.instance {
+                    if deaf || now <= silent_since + self.patience.instance {
                         continue;
                     }
                     record.standing = Standing::Silent;
                     entry.version = entry.version.max(version_of(heard.sequence)) + VERSIONS_TO_SILENCE;
                     out.push(entry.clone());
                 }
-                Value::Gate(record) if !record.gone && now > heard.at + self.patience.gate => {
+                Value::Gate(record) if !record.gone && now > silent_since + self.patience.gate => {
                     record.gone = true;
                     entry.version = entry.version.max(heard.sequence) + VERSIONS_TO_SILENCE;
                     out.push(entry.clone());
@@ -193,18 +203,30 @@
         out
     }
 
-    /// The gates that take new clients, with their records.
-    pub fn gates(&self) -> impl Iterator<Item = (std::net::SocketAddr, &GateRecord)> {
-        self.entries.iter().filter_map(|(key, entry)| match (key, &entry.value) {
+    /// The gates that take new clients and were heard of lately, with their records.
+    pub fn gates(&self, now: Micros) -> impl Iterator<Item = (SocketAddr, &GateRecord)> {
+        self.gates_heard(move |heard| now <= heard.at + self.patience.gate)
+    }
+
+    /// Those of [`Catalog::gates`] that lately spoke to this coordinator itself.
+    pub fn gates_heard_here(&self, now: Micros) -> impl Iterator<Item = (SocketAddr, &GateRecord)> {
+        self.gates_heard(move |heard| heard.here.is_some_and(|here| now <= here + self.patience.gate))
+    }
+
+    fn gates_heard(
+        &self,
+        is_heard: impl Fn(&Heard) -> bool,
+    ) -> impl Iterator<Item = (SocketAddr, &GateRecord)> {
+        self.entries.iter().filter_map(move |(key, entry)| match (key, &entry.value) {
             (Key::Gate(address), Value::Gate(record)) if !record.gone && record.ready => {
-                Some((*address, record))
+                self.heard.get(key).is_some_and(&is_heard).then_some((*address, record))
             }
             _ => None,
         })
     }
 
     fn hear(&mut self, now: Micros, key: &Key, sequence: u64) {
-        note(&mut self.heard, now, key, sequence);
+        note(&mut self.heard, now, key, sequence).here = Some(now);
         self.fresh.insert(key.clone(), sequence);
     }
 
@@ -234,10 +256,11 @@
     sequence.saturating_mul(VERSIONS_PER_SEQUENCE).min(VERSION_GONE - VERSIONS_PER_SEQUENCE)
 }
 
-fn note(heard: &mut FxHashMap<Key, Heard>, now: Micros, key: &Key, sequence: u64) {
-    let last = heard.entry(key.clone()).or_insert(Heard { at: now, sequence });
+fn note<'a>(heard: &'a mut FxHashMap<Key, Heard>, now: Micros, key: &Key, sequence: u64) -> &'a mut Heard {
+    let last = heard.entry(key.clone()).or_insert(Heard { at: now, sequence, here: None });
     last.at = last.at.max(now);
     last.sequence = last.sequence.max(sequence);
+    last
 }
 
 /// Whether others who hold the first value must be told of the second.
--- a/crates/catalog/src/tests.rs
+++ b/crates/catalog/src/tests.rs
@@ -229,7 +229,7 @@
     let second = there.gate(1, gate_key(), 8, gate(false)).expect("told");
     here.alive(2, &there.take_fresh());
     assert_eq!(here.merge(3, &second), Merged::News);
-    assert_eq!(here.gates().count(), 0);
+    assert_eq!(here.gates(3).count(), 0);
 }
 
 /// The silence carries the number of the last heartbeat that anyone heard of.
@@ -270,12 +270,41 @@
 fn a_gate_that_says_nothing_takes_no_new_clients_until_it_speaks() {
     let mut catalog = catalog();
     catalog.gate(0, gate_key(), 4, gate(true));
-    assert_eq!(catalog.gates().count(), 1);
+    assert_eq!(catalog.gates(0).count(), 1);
     let gone = catalog.expire(3 * SECOND);
     assert_matches!(&gone[..], [entry] if entry.version > 4 && entry.version < 8);
-    assert_eq!(catalog.gates().count(), 0);
+    assert_eq!(catalog.gates(3 * SECOND).count(), 0);
     assert!(catalog.gate(4 * SECOND, gate_key(), 8, gate(true)).is_some());
-    assert_eq!(catalog.gates().count(), 1);
+    assert_eq!(catalog.gates(4 * SECOND).count(), 1);
+}
+
+#[test]
+fn gates_that_speak_here_are_told_from_those_that_others_hear() {
+    let (mut here, mut there) = (catalog(), catalog());
+    let told = there.gate(0, gate_key(), 4, gate(true)).expect("told");
+    here.merge(0, &told);
+    assert_eq!((here.gates(0).count(), here.gates_heard_here(0).count()), (1, 0));
+    here.gate(SECOND, gate_key(), 8, gate(true));
+    assert_eq!(here.gates_heard_here(SECOND).count(), 1);
+    there.gate(4 * SECOND, gate_key(), 12, gate(true));
+    here.alive(4 * SECOND, &there.take_fresh());
+    assert_eq!((here.gates(4 * SECOND).count(), here.gates_heard_here(4 * SECOND).count()), (1, 0));
+    assert_eq!(here.gates(7 * SECOND).count(), 0, "nobody has heard it lately");
+}
+
+/// A coordinator that was cut off has heard nobody: it begins to count anew.
+#[test]
+fn silence_before_the_return_of_the_others_does_not_count() {
+    let mut catalog = catalog();
+    catalog.heartbeat(0, "a", ready(1));
+    catalog.gate(0, gate_key(), 4, gate(true));
+    let back = 30 * SECOND;
+    catalog.resume(back);
+    catalog.heartbeat(back, "b", ready(1));
+    assert_eq!(catalog.expire(back), []);
+    assert_eq!(catalog.expire(back + PATIENCE.gate), []);
+    catalog.heartbeat(back + PATIENCE.instance, "b", ready(2));
+    assert_eq!(catalog.expire(back + PATIENCE.instance + 1).len(), 2);
 }
 
 #[test]
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -3,10 +3,13 @@
 #![forbid(unsafe_code)]
 
 mod api;
+mod clock;
+mod confirm;
 mod disk;
 mod links;
 mod replica;
 mod resolve;
+mod standing;
 mod state;
 mod value;
 
@@ -27,6 +30,7 @@
 use tokio::time::Interval;
 
 use api::Commands;
+use clock::Clock;
 use disk::Persisted;
 use replica::Replica;
 use state::{Command, State};
@@ -82,9 +86,9 @@
     async fn start(settings: &Settings, reload: Signal, log: &Logger) -> Result<(Self, Commands)> {
         let own = SocketAddr::new(settings.ip_address, settings.internal_port(InternalPort::Coordinator));
         let clock = Instant::now();
-        let (replica, persisted) = Replica::open(settings, own, clock, log.clone())?;
+        let (replica, persisted) = Replica::open(settings, own, Clock::since(clock), log.clone())?;
         let (mesh, entries) = Mesh::start(settings, Role::Coordinator, log).await?;
-        let state = Rc::new(RefCell::new(State::new(settings, own, clock, replica, mesh.clone())));
+        let state = Rc::new(RefCell::new(State::new(settings, own, replica, Box::new(mesh.clone()), log)));
         links::start(&state, own, settings.seed_coordinators()).await?;
         let (to, commands) = mpsc::unbounded_channel();
         let tick = tokio::time::interval(TICK);
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eyre::{Result, WrapErr as _, eyre};
 use ironmast_register::node::Place;
@@ -17,7 +17,9 @@
 use slog::{Logger, warn};
 use tokio::sync::{mpsc, oneshot};
 
+use crate::clock::Clock;
 use crate::disk::{Journal, Persisted};
+use crate::standing::contact_bound;
 use crate::state::Reply;
 use crate::value::{ControlValue, Refusal};
 
@@ -33,22 +35,30 @@
     Send(SocketAddr, Vec<u8>),
     /// A newer state is in force.
     Learned(Arc<State<ControlValue>>),
+    /// A caller's operation has ended, with this answer.
+    Answered(Kind, Reply, oneshot::Sender<Reply>),
+    /// The read of [`Replica::catch_up`] has ended: whether it told the newest state.
+    CaughtUp(bool),
 }
 
-/// How an operation's outcome is told.
+/// What a caller has asked for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Kind {
+pub enum Kind {
+    /// A change of the operator's state.
     Change,
+    /// The configuration in force.
     Read,
 }
 
 /// The register's node with what it waits for.
 pub struct Replica {
-    clock: Instant,
+    clock: Clock,
     node: Node<ControlValue>,
     journal: Journal,
     pending: BTreeMap<OperationId, (Kind, oneshot::Sender<Reply>)>,
     next_operation: OperationId,
+    /// The read by which this coordinator catches up.
+    catching_up: Option<OperationId>,
     /// The write under way; kept until it is durable.
     write: Option<(PersistToken, Record<ControlValue>)>,
     rewrite_at: Option<Duration>,
@@ -64,7 +74,7 @@
     pub fn open(
         settings: &Settings,
         own: SocketAddr,
-        clock: Instant,
+        clock: Clock,
         log: Logger,
     ) -> Result<(Self, mpsc::UnboundedReceiver<Persisted>)> {
         let folder = settings.data_directory.as_deref();
@@ -80,12 +90,24 @@
             None => Origin::Empty { identity: Identity(rand::random()) },
         };
         let place = Place { address: own, zone: settings.zone.clone() };
-        let bearing = ironmast_register::Settings::bearing(settings.fault_tolerance.hosts_lost);
-        let node = Node::recover(origin, place, rand::random(), bearing);
-        let (pending, next_operation) = Default::default();
+        let mut times = ironmast_register::Settings::bearing(settings.fault_tolerance.hosts_lost);
+        times.contact = contact_bound(&settings.timing_bounds);
+        let node = Node::recover(origin, place, rand::random(), times);
+        let (pending, next_operation, catching_up) = Default::default();
         let (write, rewrite_at, timer) = (None, None, None);
         Ok((
-            Replica { clock, node, journal, pending, next_operation, write, rewrite_at, timer, log },
+            Replica {
+                clock,
+                node,
+                journal,
+                pending,
+                next_operation,
+                catching_up,
+                write,
+                rewrite_at,
+                timer,
+                log,
+            },
             persisted,
         ))
     }
@@ -96,6 +118,40 @@
         Some(state.members.latest().len())
     }
 
+    /// Whether a write is under way.
+    #[cfg(test)]
+    pub fn is_writing(&self) -> bool {
+        self.write.is_some()
+    }
+
+    /// The coordinator's steady clock.
+    pub fn clock(&self) -> &Clock {
+        &self.clock
+    }
+
+    /// Whether a majority of the replicas has answered a question asked within the bound.
+    pub fn is_in_contact(&self) -> bool {
+        self.node.is_in_contact(self.clock.now())
+    }
+
+    /// When the newest question was asked that a majority of the replicas has answered.
+    pub fn contact_since(&self) -> Option<Duration> {
+        self.node.contact_since(self.clock.now())
+    }
+
+    /// Asks all coordinators at once whether they are there.
+    pub fn question(&mut self) -> Vec<Effect> {
+        self.handle(Event::Question)
+    }
+
+    /// Reads the newest state from a quorum; [`Effect::CaughtUp`] tells the end. A read begun before doesn't count
+    /// any more.
+    pub fn catch_up(&mut self) -> Vec<Effect> {
+        let id = self.next_operation();
+        self.catching_up = Some(id);
+        self.handle_submit(id, Operation::Read)
+    }
+
     /// When [`Replica::wake`] is to be called.
     pub fn wake_at(&self) -> Duration {
         // The first event of a node is its timer.
@@ -105,7 +161,7 @@
 
     /// Does what is due.
     pub fn wake(&mut self) -> Vec<Effect> {
-        let now = self.clock.elapsed();
+        let now = self.clock.now();
         if self.rewrite_at.is_some_and(|at| at <= now) {
             self.rewrite_at = None;
             if let Some((token, record)) = &self.write {
@@ -135,10 +191,18 @@
         operation: Operation<ControlValue>,
         to: oneshot::Sender<Reply>,
     ) -> Vec<Effect> {
-        self.next_operation += 1;
-        let id = self.next_operation;
+        let id = self.next_operation();
         self.pending.insert(id, (kind, to));
-        let deadline = self.clock.elapsed() + ANSWER_WITHIN;
+        self.handle_submit(id, operation)
+    }
+
+    fn next_operation(&mut self) -> OperationId {
+        self.next_operation += 1;
+        self.next_operation
+    }
+
+    fn handle_submit(&mut self, id: OperationId, operation: Operation<ControlValue>) -> Vec<Effect> {
+        let deadline = self.clock.now() + ANSWER_WITHIN;
         self.handle(Event::Submit { id, operation, deadline })
     }
 
@@ -176,7 +240,7 @@
             }
             Err(error) => {
                 warn!(self.log, "the register's record can't be written"; "why" => %error);
-                self.rewrite_at = Some(self.clock.elapsed() + REWRITE);
+                self.rewrite_at = Some(self.clock.now() + REWRITE);
                 Vec::new()
             }
         }
@@ -184,7 +248,7 @@
 
     fn handle(&mut self, event: Event<ControlValue>) -> Vec<Effect> {
         let mut actions = Vec::new();
-        self.node.handle(self.clock.elapsed(), event, &mut actions);
+        self.node.handle(self.clock.now(), event, &mut actions);
         actions.into_iter().filter_map(|action| self.carry_out(action)).collect()
     }
 
@@ -198,16 +262,20 @@
                 self.journal.write(write.record.clone(), write.token);
                 self.write = Some((write.token, write.record));
             }
-            Action::Completed { id, outcome } => {
-                if let Some((kind, to)) = self.pending.remove(&id) {
-                    let _ = to.send(reply(kind, outcome));
-                }
-            }
+            Action::Completed { id, outcome } => return self.completed(id, outcome),
             Action::StorageFailed => warn!(self.log, "this replica gives no vote any more"),
             Action::Timer(at) => self.timer = Some(at),
         }
         None
     }
+
+    fn completed(&mut self, id: OperationId, outcome: Outcome<ControlValue>) -> Option<Effect> {
+        if self.catching_up.take_if(|read| *read == id).is_some() {
+            return Some(Effect::CaughtUp(matches!(outcome, Outcome::Read(_))));
+        }
+        let (kind, to) = self.pending.remove(&id)?;
+        Some(Effect::Answered(kind, reply(kind, outcome), to))
+    }
 }
 
 fn reply(kind: Kind, outcome: Outcome<ControlValue>) -> Reply {
@@ -218,8 +286,19 @@
         },
         (_, Outcome::Written(_) | Outcome::Kept(_) | Outcome::Read(_)) => Reply::json("{}"),
         (_, Outcome::Rejected { reason, .. }) => Reply::refused(Refusal::of(&reason).status(), &reason),
+        (Kind::Change, Outcome::Unknown) => Reply::refused(504, "it may be in force or come into force"),
         (_, Outcome::Expired | Outcome::Unknown) => {
             Reply::refused(503, "no majority of the coordinators has answered in time")
         }
     }
 }
+
+/// What is told in place of an answer that has come from a quorum, but too long ago to stand for the newest state.
+pub fn withheld(kind: Kind, reply: Reply) -> Reply {
+    let is_success = reply.status < 300;
+    match kind {
+        Kind::Change if is_success => Reply::refused(504, "it may be in force; contact was lost meanwhile"),
+        _ if reply.status < 500 => Reply::refused(503, "contact with the other coordinators was lost"),
+        _ => reply,
+    }
+}
--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -2,20 +2,23 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use ironmast_catalog::{Catalog, Merged, Micros, Patience};
 use ironmast_mesh::Mesh;
 use ironmast_register::{Operation, State as RegisterState};
 use ironmast_schema::configuration::Configuration;
-use ironmast_schema::control::{ControlState, Entry, FromCoordinator, ToCoordinator, Value};
-use ironmast_schema::registration::Heartbeat;
+use ironmast_schema::control::{ControlState, Entry, FromCoordinator, Key, ToCoordinator, Value};
+use ironmast_schema::registration::{Heartbeat, InstanceState};
 use ironmast_schema::settings::Settings;
+use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, oneshot};
 
+use crate::confirm::Confirmations;
 use crate::disk::Persisted;
-use crate::replica::{Effect, Replica};
+use crate::replica::{Effect, Kind, Replica, withheld};
 use crate::resolve;
+use crate::standing::{Request, Standing, Treatment};
 use crate::value::{ControlValue, Document};
 
 /// Heartbeats that a server may miss before it counts as silent.
@@ -23,6 +26,9 @@
 /// A gate that says nothing for this long gets no new clients.
 const GATE_PATIENCE: Micros = 2_500_000;
 
+/// Why a word isn't acknowledged.
+const OUT_OF_CONTACT: &str = "no majority of the coordinators is in contact";
+
 /// What an HTTP handler asks for.
 #[derive(Debug)]
 pub enum Command {
@@ -61,17 +67,43 @@
     }
 }
 
+/// The relay tree, as the state uses it.
+pub trait Relay {
+    /// Spreads an entry.
+    fn publish(&self, entry: &Entry);
+    /// Lets all nodes forget a key.
+    fn remove(&self, of: &Key, version: u64);
+    /// Tells whether beats make their hearers fresh.
+    fn set_in_contact(&self, in_contact: bool);
+}
+
+impl Relay for Mesh {
+    fn publish(&self, entry: &Entry) {
+        Mesh::publish(self, entry);
+    }
+
+    fn remove(&self, of: &Key, version: u64) {
+        Mesh::remove(self, of, version);
+    }
+
+    fn set_in_contact(&self, in_contact: bool) {
+        Mesh::set_in_contact(self, in_contact);
+    }
+}
+
 /// A subscriber's queue.
 type Subscriber = mpsc::UnboundedSender<FromCoordinator>;
 
 /// All state of a coordinator.
 pub struct State {
-    clock: Instant,
+    log: Logger,
+    standing: Standing,
+    confirmations: Confirmations,
     pub(crate) own: SocketAddr,
     ttl_s: f64,
     catalog: Catalog,
     replica: Replica,
-    mesh: Mesh,
+    relay: Box<dyn Relay>,
     /// The configuration in force, as sent and as read.
     in_force: Option<(Document, Configuration)>,
     /// What waits for the links to other coordinators.
@@ -83,16 +115,25 @@
 
 impl State {
     /// The state at the start.
-    pub fn new(settings: &Settings, own: SocketAddr, clock: Instant, replica: Replica, mesh: Mesh) -> Self {
+    pub fn new(
+        settings: &Settings,
+        own: SocketAddr,
+        replica: Replica,
+        relay: Box<dyn Relay>,
+        log: &Logger,
+    ) -> Self {
+        relay.set_in_contact(false);
         let instance = settings.heartbeat_interval_ms * 1_000 * HEARTBEATS_MISSED;
         let ttl_s = (settings.timing_bounds.ttl_max_s / 2.0).min(2.0);
         State {
-            clock,
+            log: log.clone(),
+            standing: Standing::Starting,
+            confirmations: Confirmations::default(),
             own,
             ttl_s,
             catalog: Catalog::new(0, Patience { instance, gate: GATE_PATIENCE }),
             replica,
-            mesh,
+            relay,
             in_force: None,
             outgoing: BTreeMap::new(),
             subscribers: BTreeMap::new(),
@@ -102,42 +143,160 @@
     }
 
     fn now(&self) -> Micros {
-        self.clock.elapsed().as_micros() as Micros
+        self.replica.clock().now().as_micros() as Micros
     }
 
     /// Carries out what a handler asks for.
     pub fn command(&mut self, command: Command) {
-        let now = self.now();
-        let (reply, to) = match command {
-            Command::Heartbeat(id, heartbeat, to) => {
-                let news = self.catalog.heartbeat(now, &id, heartbeat);
-                self.publish(news.into_iter().collect());
-                (Reply::json("{}"), to)
-            }
-            Command::Leave(id, to) => {
-                let news = self.catalog.leave(now, &id);
-                self.publish(news.into_iter().collect());
-                (Reply::json("{}"), to)
-            }
+        self.observe();
+        match command {
+            Command::Heartbeat(id, heartbeat, to) => self.heartbeat(id, heartbeat, to),
+            Command::Leave(id, to) => self.server_leaves(id, to),
             Command::Configure(generation, body, base, to) => {
                 let document = Document { generation, body };
                 let change = Operation::change(move |value: &ControlValue| value.configure(&document, base));
-                let effects = self.replica.change(change, to);
-                return self.carry_out(effects);
-            }
-            Command::ReadConfiguration(to) => {
-                let effects = self.replica.read(to);
-                return self.carry_out(effects);
+                self.decide(Request::Configuration, change, to);
             }
             Command::Evacuate(zone, out, to) => {
                 let change = Operation::change(move |value: &ControlValue| value.evacuate(&zone, out));
-                let effects = self.replica.change(change, to);
-                return self.carry_out(effects);
+                self.decide(Request::Evacuation, change, to);
             }
+            Command::ReadConfiguration(to) => self.read(to),
             Command::Resolve(region, zone, to) => {
-                let addresses = resolve::addresses(self.catalog.gates(), &region, &zone);
-                (resolve::answer(&addresses, self.ttl_s), to)
+                let _ = to.send(self.resolve(&region, &zone));
+            }
+        }
+    }
+
+    fn heartbeat(&mut self, id: String, heartbeat: Heartbeat, to: oneshot::Sender<Reply>) {
+        let request = match heartbeat.state {
+            InstanceState::Draining => Request::Draining,
+            InstanceState::Ready => Request::Heartbeat,
+        };
+        let news = self.catalog.heartbeat(self.now(), &id, heartbeat);
+        self.publish(news.into_iter().collect());
+        self.answer_server(request, Key::Instance(id), to);
+    }
+
+    fn server_leaves(&mut self, id: String, to: oneshot::Sender<Reply>) {
+        let news = self.catalog.leave(self.now(), &id);
+        self.publish(news.into_iter().collect());
+        self.answer_server(Request::Delete, Key::Instance(id), to);
+    }
+
+    /// Answers a server whose word has been taken in.
+    fn answer_server(&mut self, request: Request, key: Key, to: oneshot::Sender<Reply>) {
+        match self.standing.treatment(request) {
+            Treatment::Acknowledge => drop(to.send(Reply::json("{}"))),
+            Treatment::Confirm => self.confirm(key, to),
+            _ => drop(to.send(Reply::refused(503, OUT_OF_CONTACT))),
+        }
+    }
+
+    /// Tells all coordinators what is known of a server, and answers once a majority has it.
+    fn confirm(&mut self, key: Key, to: oneshot::Sender<Reply>) {
+        let Some(entry) = self.catalog.get(&key).cloned() else {
+            // Another coordinator may know it; nobody would hear of this one's word.
+            let _ = to.send(Reply::refused(503, "this server is not known here"));
+            return;
+        };
+        for queue in self.outgoing.values() {
+            let _ = queue.send(ToCoordinator::Entries(vec![entry.clone()]));
+        }
+        self.confirmations.add(self.replica.clock().now(), key, to);
+        let effects = self.replica.question();
+        self.carry_out(effects);
+        self.observe();
+    }
+
+    fn decide(&mut self, request: Request, change: Operation<ControlValue>, to: oneshot::Sender<Reply>) {
+        if self.standing.treatment(request) == Treatment::Refuse {
+            let _ = to.send(Reply::refused(503, OUT_OF_CONTACT));
+            return;
+        }
+        let effects = self.replica.change(change, to);
+        self.carry_out(effects);
+    }
+
+    fn read(&mut self, to: oneshot::Sender<Reply>) {
+        if self.standing.treatment(Request::Read) == Treatment::Refuse {
+            let _ = to.send(Reply::refused(503, OUT_OF_CONTACT));
+            return;
+        }
+        let effects = self.replica.read(to);
+        self.carry_out(effects);
+    }
+
+    fn resolve(&self, region: &str, zone: &str) -> Reply {
+        let now = self.now();
+        let addresses = match self.standing.treatment(Request::Resolve) {
+            Treatment::Everybody => resolve::addresses(self.catalog.gates(now), region, zone),
+            _ => {
+                let gates = self.catalog.gates_heard_here(now);
+                resolve::addresses(gates.filter(|(_, gate)| gate.region == region), region, zone)
+            }
+        };
+        resolve::answer(&addresses, self.ttl_s)
+    }
+
+    /// Takes up what follows from the age of the contact. Called before anything is answered: a process that stood
+    /// still has lost contact, though no timer could tell.
+    fn observe(&mut self) {
+        let standing = self.standing.observed(self.replica.is_in_contact());
+        self.enter(standing);
+        let now = self.replica.clock().now();
+        self.confirmations.settle(now, self.replica.contact_since());
+    }
+
+    fn enter(&mut self, standing: Standing) {
+        let before = std::mem::replace(&mut self.standing, standing);
+        if before == standing {
+            return;
+        }
+        match standing {
+            Standing::Starting => {}
+            Standing::CatchingUp => {
+                let effects = self.replica.catch_up();
+                self.carry_out(effects);
             }
+            Standing::InContact => {
+                info!(self.log, "in contact with a majority of the coordinators");
+                self.catalog.resume(self.now());
+            }
+            Standing::OutOfContact if before == Standing::InContact => {
+                warn!(
+                    self.log,
+                    "out of contact with the majority of the coordinators: nothing is acknowledged"
+                );
+                self.confirmations.refuse();
+            }
+            Standing::OutOfContact | Standing::Leaving => self.confirmations.refuse(),
+        }
+        if (before == Standing::InContact) != (self.standing == Standing::InContact) {
+            self.relay.set_in_contact(self.is_feed_fresh());
+            self.tell_alive();
+        }
+    }
+
+    fn is_feed_fresh(&self) -> bool {
+        self.standing.treatment(Request::Feed) == Treatment::Fresh
+    }
+
+    /// The read that catches up has ended.
+    fn caught_up(&mut self, holds_newest: bool) {
+        if holds_newest {
+            return self.enter(self.standing.caught_up());
+        }
+        if self.standing == Standing::CatchingUp {
+            let effects = self.replica.catch_up();
+            self.carry_out(effects);
+        }
+    }
+
+    fn answered(&self, kind: Kind, reply: Reply, to: oneshot::Sender<Reply>) {
+        let reply = match self.standing {
+            Standing::OutOfContact => withheld(kind, reply),
+            _ => reply,
         };
         let _ = to.send(reply);
     }
@@ -147,6 +306,8 @@
             match effect {
                 Effect::Send(to, bytes) => self.send(to, ToCoordinator::Register(bytes)),
                 Effect::Learned(learned) => self.learned(&learned),
+                Effect::Answered(kind, reply, to) => self.answered(kind, reply, to),
+                Effect::CaughtUp(holds_newest) => self.caught_up(holds_newest),
             }
         }
     }
@@ -182,18 +343,21 @@
 
     /// Does what the register has due.
     pub fn wake(&mut self) {
+        self.observe();
         let effects = self.replica.wake();
         self.carry_out(effects);
     }
 
     /// A record is durable, or isn't.
     pub fn persisted(&mut self, completion: Persisted) {
+        self.observe();
         let effects = self.replica.persisted(completion);
         self.carry_out(effects);
     }
 
     /// This machine is about to stop.
     pub fn leave(&mut self) {
+        self.enter(Standing::Leaving);
         let effects = self.replica.leave();
         self.carry_out(effects);
     }
@@ -206,6 +370,10 @@
 
     /// A link to another coordinator is up: what is sent there goes into this queue.
     pub fn linked(&mut self, to: SocketAddr, queue: mpsc::UnboundedSender<ToCoordinator>) {
+        let waiting = self.confirmations.keys().filter_map(|key| self.catalog.get(key));
+        for entry in waiting {
+            let _ = queue.send(ToCoordinator::Entries(vec![entry.clone()]));
+        }
         self.outgoing.insert(to, queue);
     }
 
@@ -222,7 +390,7 @@
     /// Spreads news over the relay tree.
     fn publish(&mut self, entries: Vec<Entry>) {
         for entry in &entries {
-            self.mesh.publish(entry);
+            self.relay.publish(entry);
         }
     }
 
@@ -237,23 +405,35 @@
 
     /// Looks for silence and tells who is alive.
     pub fn tick(&mut self) {
+        self.observe();
         let now = self.now();
-        let news = self.catalog.expire(now);
-        self.publish(news);
+        // Whoever isn't heard here may be heard by others, of whom nothing is known out of contact.
+        if self.standing == Standing::InContact {
+            let news = self.catalog.expire(now);
+            self.publish(news);
+        }
         for (key, version) in self.catalog.forget(now) {
-            self.mesh.remove(&key, version);
+            self.relay.remove(&key, version);
         }
+        self.tell_alive();
+    }
+
+    /// Tells all subscribers that this coordinator is there, and whether it is in contact.
+    fn tell_alive(&mut self) {
+        let in_contact = self.is_feed_fresh();
         let fresh = self.catalog.take_fresh();
         let coordinators: Vec<SocketAddr> = self.coordinators.iter().copied().collect();
         self.subscribers.retain(|_, (to, coordinator)| {
             let heard = if *coordinator { fresh.clone() } else { Vec::new() };
-            to.send(FromCoordinator::Alive { coordinators: coordinators.clone(), heard, in_contact: true })
-                .is_ok()
+            to.send(FromCoordinator::Alive { coordinators: coordinators.clone(), heard, in_contact }).is_ok()
         });
     }
 
     /// Adds a subscriber.
     pub fn subscribe(&mut self, to: Subscriber, coordinator: bool) -> u64 {
+        let coordinators = self.coordinators.iter().copied().collect();
+        let in_contact = self.is_feed_fresh();
+        let _ = to.send(FromCoordinator::Alive { coordinators, heard: Vec::new(), in_contact });
         self.next_subscriber += 1;
         self.subscribers.insert(self.next_subscriber, (to, coordinator));
         self.next_subscriber
@@ -270,21 +450,34 @@
         match frame {
             ToCoordinator::Hello(_) => {}
             ToCoordinator::Entries(entries) => {
-                let gates = entries.into_iter().filter_map(|entry| match entry.value {
-                    Value::Gate(record) => self.catalog.gate(now, entry.key, entry.version, record),
-                    _ => None,
-                });
-                let news = gates.collect();
-                self.publish(news);
+                entries.into_iter().for_each(|entry| self.take_entry(entry));
             }
             ToCoordinator::Register(bytes) => {
+                self.observe();
                 let effects = self.replica.receive(&bytes);
                 self.carry_out(effects);
+                self.observe();
             }
             ToCoordinator::Alive(heard) => self.catalog.alive(now, &heard),
         }
     }
 
+    /// Takes an entry that came directly: an agent's word of its gate, or another coordinator's of a server that
+    /// leaves.
+    fn take_entry(&mut self, entry: Entry) {
+        let now = self.now();
+        let news = match entry.value {
+            Value::Gate(record) => self.catalog.gate(now, entry.key, entry.version, record),
+            Value::Instance(_) => match self.catalog.merge(now, &entry) {
+                Merged::News => Some(entry),
+                Merged::Known => None,
+                Merged::Outdated(newer) => Some(*newer),
+            },
+            Value::Control(_) => None,
+        };
+        self.publish(news.into_iter().collect());
+    }
+
     /// Takes a frame of another coordinator; returns the coordinators that it knows.
     pub fn take_coordinator_frame(&mut self, frame: FromCoordinator) -> Vec<SocketAddr> {
         let FromCoordinator::Alive { coordinators, heard, .. } = frame;
@@ -293,3 +486,6 @@
         coordinators
     }
 }
+
+#[cfg(test)]
+mod tests;
