storage: a damaged log is set aside, and no older segment outlives the newest

Log::erase removed the files of a damaged log in one go and synced the folder once. Power lost midway could keep an older segment (one whose own removal had failed or was lost) and drop the newest: the next start found the older record and a replica voted by promises that it had outgrown.

Now what the newest segment supersedes goes first, durably. Log::set_aside keeps the damaged segment under another name (.damaged), two at most, each no longer than a segment may be, and tells the name; its number stays used. Log::files_set_aside lists them.

The crate's page says why the replica need not give its vote up.

--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -10,6 +10,14 @@
 //! - After a failed write or sync nothing is written to the same file again; [`Log::reopen`] begins a new one.
 //! - What recovery reads may come from the page cache only, so it is written again and synced before it counts.
 //! - Damage in what had been synced is an error and never taken for the torn end that a loss of power leaves.
+//!   [`Log::set_aside`] keeps the damaged file under another name, for it may be the only copy.
+//!
+//! A write or sync that fails needs no end of the replica whose votes the records are, as long as no answer rests on the
+//! record before [`Log::reopen`] has succeeded with it. Until then the failure is like a crash in the midst of the
+//! write: the file that failed may hold the record or not, so that a later start finds it or the one before it, and
+//! writes it again before it counts; neither contradicts an answer. The new file doesn't share a page with the one that
+//! failed, its sync covers all of its bytes, and its number is the highest, so that it wins over whatever became of the
+//! other. `tests/failed_sync.rs` ends the process or the power at each step of that.
 //!
 //! ```
 //! use std::sync::Arc;
@@ -43,7 +51,7 @@
 pub use disk::{Disk, DiskError, FailureKind, RealDisk, Step};
 pub use format::CorruptionReason;
 pub use identity::{IdentityError, IdentityFile};
-pub use log::{Log, LogError, LogState};
+pub use log::{Log, LogError, LogState, SET_ASIDE_MOST};
 pub use recovery::{OpenError, Recovered};
 pub use settings::{LogSettings, SettingsError};
 pub use writer::{Activity, Completion, Health, Supersedes, Writer};
--- a/crates/storage/src/log.rs
+++ b/crates/storage/src/log.rs
@@ -8,6 +8,7 @@
 //! No file is appended to by two runs, and none after a failed write or sync. There is no reserve file to be freed when
 //! the disk is full: the log's own use is bounded, and a disk that refuses every write refuses into a freed file too.
 
+mod damage;
 mod segments;
 #[cfg(test)]
 mod tests;
@@ -20,10 +21,10 @@
 
 use crate::disk::{Disk, DiskError};
 use crate::encode::encode;
-use crate::names;
 use crate::recovery::{self, Newest, OpenError, Recovered};
 use crate::settings::{LogSettings, OnOpen};
 
+pub use damage::SET_ASIDE_MOST;
 use segments::{Segments, fits};
 
 /// The newest of a row of records, durable in checksummed segments.
@@ -109,12 +110,25 @@
     /// # Errors
     /// When a file cannot be removed or the folder cannot be synced; some files may be gone then.
     pub fn erase(disk: &dyn Disk, settings: &LogSettings) -> Result<(), DiskError> {
-        for name in disk.list()? {
-            if names::parse(&settings.name, &name).is_some() {
-                disk.remove(&name)?;
-            }
-        }
-        disk.sync_folder()
+        damage::erase(disk, settings)
+    }
+
+    /// Sets the damaged newest segment aside under another name and removes what it superseded, so that the log can be
+    /// opened anew, empty. At most [`SET_ASIDE_MOST`] segments are kept so, and none that is longer than a segment may
+    /// be; the oldest go first. Returns the name of the file, unless it was too long to keep.
+    ///
+    /// # Errors
+    /// When a step fails; the damaged segment is then still found under one of its names.
+    pub fn set_aside(disk: &dyn Disk, settings: &LogSettings) -> Result<Option<String>, DiskError> {
+        damage::set_aside(disk, settings)
+    }
+
+    /// Names of the damaged segments that were set aside: evidence that this folder has held a log before.
+    ///
+    /// # Errors
+    /// When the folder cannot be read.
+    pub fn files_set_aside(disk: &dyn Disk, settings: &LogSettings) -> Result<Vec<String>, DiskError> {
+        damage::files_set_aside(disk, settings)
     }
 
     /// Writes a record. It is durable once a later [`Log::sync`] succeeds.
--- a/crates/storage/src/log/tests.rs
+++ b/crates/storage/src/log/tests.rs
@@ -1,5 +1,6 @@
 //! Random histories of records, syncs, losses of power, kills and disk failures, against what was reported.
 
+mod damage;
 mod failures;
 mod history;
 
--- /dev/null
+++ b/crates/storage/src/log/tests/damage.rs
@@ -0,0 +1,137 @@
+//! A damaged log is set aside or erased, whatever stops that midway.
+
+use std::sync::Arc;
+
+use assert_matches::assert_matches;
+
+use crate::disk::{Disk, DiskError};
+use crate::log::{Log, SET_ASIDE_MOST};
+use crate::names;
+use crate::recovery::{OpenError, Recovered};
+use crate::settings::LogSettings;
+use crate::testing::FaultyDisk;
+
+const LOG: &str = "damage";
+const SPACE_BYTES: u64 = 4096;
+/// Operations of the disk in which either way to begin anew certainly ends.
+const OPERATIONS: u64 = 16;
+
+fn settings() -> LogSettings {
+    LogSettings::constant(LOG, SPACE_BYTES)
+}
+
+fn open(disk: &Arc<FaultyDisk>) -> Result<(Log<u64>, Recovered<u64>), OpenError> {
+    Log::open(disk.clone() as Arc<dyn Disk>, settings())
+}
+
+fn write_file(disk: &FaultyDisk, name: &str, bytes: &[u8]) {
+    disk.create(name).expect("create");
+    disk.append(name, bytes).expect("append");
+    disk.sync_file(name).expect("sync");
+    disk.sync_folder().expect("sync folder");
+}
+
+fn damage(disk: &FaultyDisk, sequence: u64) {
+    let name = names::segment(LOG, sequence);
+    let mut bytes = disk.read(&name).expect("read");
+    bytes[30] ^= 1;
+    disk.remove(&name).expect("remove");
+    write_file(disk, &name, &bytes);
+}
+
+/// A disk on which the newest segment is damaged and an older, sound one has not gone.
+fn damaged_disk(seed: u64) -> Arc<FaultyDisk> {
+    let disk = Arc::new(FaultyDisk::new(seed));
+    let (mut log, _) = open(&disk).expect("open");
+    log.reopen(&1).expect("reopen");
+    let older = names::segment(LOG, 0);
+    let bytes = disk.read(&older).expect("read");
+    log.reopen(&2).expect("reopen");
+    drop(log);
+    write_file(&disk, &older, &bytes);
+    damage(&disk, 1);
+    assert_matches!(open(&disk).map(|(_, found)| found), Err(OpenError::Corrupted { .. }));
+    disk
+}
+
+/// The seeds and steps at which a loss of power midway lets an older record be found.
+fn older_found(begin_anew: impl Fn(&FaultyDisk) -> Result<(), DiskError>) -> Vec<(u64, u64)> {
+    let mut wrong = Vec::new();
+    for seed in 0..40 {
+        for operations in 0..OPERATIONS {
+            let disk = damaged_disk(seed);
+            disk.stop_after(operations);
+            let ended = begin_anew(&disk);
+            disk.lose_power();
+            match open(&disk).map(|(_, found)| found) {
+                Ok(Recovered::Empty) => {}
+                Err(OpenError::Corrupted { .. }) if ended.is_err() => {}
+                _ => wrong.push((seed, operations)),
+            }
+        }
+    }
+    wrong
+}
+
+#[test]
+fn an_older_record_is_never_found_once_the_newest_is_set_aside() {
+    assert_eq!(older_found(|disk| Log::<u64>::set_aside(disk, &settings()).map(drop)), []);
+}
+
+#[test]
+fn an_older_record_is_never_found_once_the_log_is_erased() {
+    assert_eq!(older_found(|disk| Log::<u64>::erase(disk, &settings())), []);
+}
+
+#[test]
+fn files_removed_with_one_sync_for_all_would_let_an_older_record_be_found() {
+    let careless = |disk: &FaultyDisk| {
+        disk.list()?.iter().try_for_each(|name| disk.remove(name))?;
+        disk.sync_folder()
+    };
+    assert!(!older_found(careless).is_empty());
+}
+
+#[test]
+fn the_damaged_bytes_are_kept_under_the_name_that_is_told() {
+    let disk = damaged_disk(1);
+    let bytes = disk.read(&names::segment(LOG, 1)).expect("read");
+    let kept = Log::<u64>::set_aside(disk.as_ref(), &settings()).expect("set aside").expect("kept");
+    assert_eq!(disk.read(&kept).expect("read"), bytes);
+    assert_eq!(Log::<u64>::files_set_aside(disk.as_ref(), &settings()).expect("list"), [kept.clone()]);
+    let (mut log, found) = open(&disk).expect("open");
+    assert_eq!(found, Recovered::Empty);
+    log.reopen(&3).expect("reopen");
+    disk.lose_power();
+    assert_matches!(open(&disk).map(|(_, found)| found), Ok(Recovered::Found { record: 3, .. }));
+    assert_eq!(disk.read(&kept).expect("still there"), bytes);
+}
+
+#[test]
+fn damage_again_and_again_keeps_the_newest_two_within_bounds() {
+    let disk = damaged_disk(2);
+    for number in 3..9 {
+        Log::<u64>::set_aside(disk.as_ref(), &settings()).expect("set aside");
+        let (mut log, _) = open(&disk).expect("open");
+        log.reopen(&number).expect("reopen");
+        let name = disk.list().expect("list").into_iter().find(|name| name.ends_with(".segment"));
+        let Some(names::LogFile::Segment(sequence)) = names::parse(LOG, &name.expect("a segment")) else {
+            panic!("a segment")
+        };
+        damage(&disk, sequence);
+        let kept = Log::<u64>::files_set_aside(disk.as_ref(), &settings()).expect("list");
+        assert!(kept.len() <= SET_ASIDE_MOST, "{kept:?}");
+    }
+    let kept = Log::<u64>::files_set_aside(disk.as_ref(), &settings()).expect("list");
+    assert_eq!(kept.len(), SET_ASIDE_MOST);
+    assert!(disk.used_bytes() <= SPACE_BYTES + SPACE_BYTES / 4 * SET_ASIDE_MOST as u64);
+}
+
+#[test]
+fn a_file_longer_than_a_segment_may_be_is_not_kept() {
+    let disk = damaged_disk(3);
+    let name = names::segment(LOG, 1);
+    disk.append(&name, &vec![7; SPACE_BYTES as usize]).expect("append");
+    assert_eq!(Log::<u64>::set_aside(disk.as_ref(), &settings()).expect("set aside"), None);
+    assert_eq!(disk.used_bytes(), 0);
+}
--- a/crates/storage/src/names.rs
+++ b/crates/storage/src/names.rs
@@ -1,9 +1,11 @@
-//! Names of a log's files: `NAME-SEQUENCE.segment`, and `.tmp` until a segment is complete.
+//! Names of a log's files: `NAME-SEQUENCE.segment`, `.tmp` until a segment is complete, `.damaged` once it is set aside.
 
 /// Ending of a complete segment.
 const SEGMENT: &str = ".segment";
 /// Ending of a segment that is being written.
 const TEMPORARY: &str = ".tmp";
+/// Ending of a damaged segment that was set aside.
+const DAMAGED: &str = ".damaged";
 /// Hexadecimal digits of a sequence number.
 const DIGITS: usize = 16;
 
@@ -14,13 +16,17 @@
     Segment(u64),
     /// A segment that never became complete.
     Temporary(u64),
+    /// A damaged segment that was set aside and is never read.
+    Damaged(u64),
 }
 
 impl LogFile {
     /// The sequence number in the name.
     pub(crate) fn sequence(self) -> u64 {
         match self {
-            LogFile::Segment(sequence) | LogFile::Temporary(sequence) => sequence,
+            LogFile::Segment(sequence) | LogFile::Temporary(sequence) | LogFile::Damaged(sequence) => {
+                sequence
+            }
         }
     }
 }
@@ -35,13 +41,22 @@
     format!("{log}-{sequence:016x}{TEMPORARY}")
 }
 
+/// Name of a damaged segment that was set aside.
+pub(crate) fn damaged(log: &str, sequence: u64) -> String {
+    format!("{log}-{sequence:016x}{DAMAGED}")
+}
+
 /// What a name says; nothing when the file is none of this log's.
 pub(crate) fn parse(log: &str, file: &str) -> Option<LogFile> {
     let rest = file.strip_prefix(log)?.strip_prefix('-')?;
-    if let Some(digits) = rest.strip_suffix(SEGMENT) {
-        return sequence(digits).map(LogFile::Segment);
+    let (stem, ending) = rest.split_at_checked(DIGITS)?;
+    let sequence = sequence(stem)?;
+    match ending {
+        SEGMENT => Some(LogFile::Segment(sequence)),
+        TEMPORARY => Some(LogFile::Temporary(sequence)),
+        DAMAGED => Some(LogFile::Damaged(sequence)),
+        _ => None,
     }
-    sequence(rest.strip_suffix(TEMPORARY)?).map(LogFile::Temporary)
 }
 
 fn sequence(digits: &str) -> Option<u64> {
--- a/crates/storage/src/recovery.rs
+++ b/crates/storage/src/recovery.rs
@@ -31,8 +31,8 @@
     /// The folder or a segment could not be read; worth another try.
     #[error("{0}; check the disk and start again")]
     Disk(#[from] DiskError),
-    /// Durable state is damaged. Nothing was changed; [`Log::erase`](crate::Log::erase) allows a new beginning, which
-    /// for a replica means a new identity.
+    /// Durable state is damaged. Nothing was changed; [`Log::set_aside`](crate::Log::set_aside) allows a new beginning,
+    /// which for a replica means a new identity.
     #[error(
         "{file} is damaged at byte {offset}: {reason}; the replica has to begin anew as after the loss of its disk"
     )]
@@ -53,6 +53,8 @@
     pub(crate) segments: Vec<u64>,
     /// Names of segments that never became complete.
     pub(crate) temporary: Vec<String>,
+    /// Sequence numbers of damaged segments that were set aside, in rising order.
+    pub(crate) damaged: Vec<u64>,
     /// The first sequence number above all that were seen.
     pub(crate) next_sequence: u64,
 }
@@ -74,9 +76,11 @@
         match file {
             LogFile::Segment(sequence) => files.segments.push(sequence),
             LogFile::Temporary(_) => files.temporary.push(name),
+            LogFile::Damaged(sequence) => files.damaged.push(sequence),
         }
     }
     files.segments.sort_unstable();
+    files.damaged.sort_unstable();
     Ok(files)
 }
 
--- a/crates/storage/src/settings.rs
+++ b/crates/storage/src/settings.rs
@@ -75,7 +75,8 @@
         Self { name: name.to_owned(), space_bytes, guards }
     }
 
-    /// Bytes that all files of the log hold together at most.
+    /// Bytes that all files of the log hold together at most, less damaged segments that were set aside: each of those
+    /// takes a quarter of this at most, and there are [`SET_ASIDE_MOST`](crate::SET_ASIDE_MOST).
     pub fn space_bytes(&self) -> u64 {
         self.space_bytes
     }
