--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -116,9 +116,10 @@
 /// Has the bench play one day. Its report takes its place only when the bench has ended.
 fn play_one(days: &Days, play: &Play) -> Result<(), String> {
     let kept = play.kept(&days.out);
-    files::folder(kept.parent().expect("it is in a folder"))?;
     let partial = kept.with_extension("part");
     let told = |e: std::io::Error| format!("{}: {e}", partial.display());
+    // Several threads may make the same folder at once, so nothing is tried out in it.
+    fs::create_dir_all(kept.parent().expect("it is in a folder")).map_err(told)?;
     let output = File::create(&partial).map_err(told)?;
     let errors = output.try_clone().map_err(told)?;
     let mut command = Command::new(&days.bench);
