The directory keeps clients in their region while its gates restart

Cause: with no ready gate in the client's region the directory named the ready gates of all regions, also where the region's gates were stopped and started in turn and the host has routes with allowed_regions. Ruled out: gates that are late to say that they are ready (they say so within the frame that configures them), and gates that end sooner (they finish streams for up to the grace period). Change: gates of another region are named where that region is a home of all the host's routes with homes, where no route has any, or where the last gate of the client's region has gone without a word; else the gates that are there without being ready, else none (503: clients keep their last answer). An agent passes on whether its gate was ready when its link ended, which tells an end from a loss. Touches coordinator/src/{state,api}.rs (the query is handed on) and agent/src/feed.rs.

--- a/crates/agent/src/feed.rs
+++ b/crates/agent/src/feed.rs
@@ -48,18 +48,20 @@
 
 async fn accepted(state: Shared, stream: TcpStream) {
     state.borrow_mut().gates_linked += 1;
-    let mut frontend = None;
-    let _ = serve(&state, stream, &mut frontend).await;
+    let mut last = None;
+    let _ = serve(&state, stream, &mut last).await;
     let mut state = state.borrow_mut();
     state.gates_linked -= 1;
-    // The gate has ended: no client is to be sent there any more.
-    if let Some(frontend) = frontend {
-        state.status(frontend, false, true);
+    // The gate has ended: no client is to be sent there any more. Whether it was ready until then tells whether it
+    // was told to end.
+    if let Some((frontend, ready)) = last {
+        state.status(frontend, ready, true);
     }
     state.gate_left.notify_one();
 }
 
-async fn serve(state: &Shared, stream: TcpStream, frontend: &mut Option<SocketAddr>) -> Result<()> {
+/// Feeds a gate until its link ends; `last` is what it last said of itself.
+async fn serve(state: &Shared, stream: TcpStream, last: &mut Option<(SocketAddr, bool)>) -> Result<()> {
     let (mut receiver, mut sender) = link::split::<FromGate, ToGate>(stream)?;
     let (to, mut queue) = mpsc::unbounded_channel();
     state.borrow_mut().subscribe(to);
@@ -70,12 +72,15 @@
                 None => return Ok(()),
             },
             frame = receiver.next() => match frame? {
-                Some(FromGate::Status { frontend: at, ready }) => {
-                    *frontend = Some(at);
-                    state.borrow_mut().status(at, ready, false);
+                Some(FromGate::Status { frontend, ready }) => {
+                    *last = Some((frontend, ready));
+                    state.borrow_mut().status(frontend, ready, false);
                 }
                 None => return Ok(()),
             },
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -2,6 +2,8 @@
 //! heard of lately, and the operator's state. No I/O: whoever drives it passes the time and sends what it returns.
 #![forbid(unsafe_code)]
 
+use std::net::SocketAddr;
+
 use ironmast_schema::control::{ControlState, Entry, GateRecord, InstanceRecord, Key, Standing, Value};
 use ironmast_schema::registration::{Heartbeat, InstanceState};
 use rustc_hash::FxHashMap;
@@ -45,6 +47,17 @@
     Outdated(Box<Entry>),
 }
 
+/// A gate that is known.
+#[derive(Debug, Clone, Copy)]
+pub struct Gate<'a> {
+    /// Where clients reach it.
+    pub frontend: SocketAddr,
+    /// The latest word about it.
+    pub record: &'a GateRecord,
+    /// When it was last heard of.
+    pub heard: Micros,
+}
+
 /// The catalog of one coordinator.
 #[derive(Debug)]
 pub struct Catalog {
@@ -193,11 +206,12 @@
         out
     }
 
-    /// The gates that take new clients, with their records.
-    pub fn gates(&self) -> impl Iterator<Item = (std::net::SocketAddr, &GateRecord)> {
+    /// The gates that are known, those that have gone among them.
+    pub fn gates(&self) -> impl Iterator<Item = Gate<'_>> {
         self.entries.iter().filter_map(|(key, entry)| match (key, &entry.value) {
-            (Key::Gate(address), Value::Gate(record)) if !record.gone && record.ready => {
-                Some((*address, record))
+            (Key::Gate(frontend), Value::Gate(record)) => {
+                let heard = self.heard.get(key).map_or(self.started, |heard| heard.at);
+                Some(Gate { frontend: *frontend, record, heard })
             }
             _ => None,
         })
--- a/crates/catalog/src/tests.rs
+++ b/crates/catalog/src/tests.rs
@@ -1,7 +1,7 @@
 //! The catalog by itself: heartbeats, silence, gates, and catalogs that got the same words in another order.
 
 use assert_matches::assert_matches;
-use ironmast_schema::control::{GateRecord, Key, Standing, Value};
+use ironmast_schema::control::{GatePresence, GateRecord, Key, Standing, Value};
 use ironmast_schema::registration::{Heartbeat, InstanceState};
 use proptest::prelude::*;
 use rand::seq::SliceRandom as _;
@@ -51,6 +51,11 @@
     GateRecord { zone: "north-a".to_string(), region: "north".to_string(), ready, gone: false }
 }
 
+/// The gates that take new clients.
+fn ready_gates(catalog: &Catalog) -> usize {
+    catalog.gates().filter(|gate| gate.record.presence() == GatePresence::Ready).count()
+}
+
 fn record<'a>(catalog: &'a Catalog, id: &str) -> &'a InstanceRecord {
     match catalog.get(&key(id)).map(|entry| &entry.value) {
         Some(Value::Instance(record)) => record,
@@ -229,7 +234,7 @@
     let second = there.gate(1, gate_key(), 8, gate(false)).expect("told");
     here.alive(2, &there.take_fresh());
     assert_eq!(here.merge(3, &second), Merged::News);
-    assert_eq!(here.gates().count(), 0);
+    assert_eq!(ready_gates(&here), 0);
 }
 
 /// The silence carries the number of the last heartbeat that anyone heard of.
@@ -270,12 +275,28 @@
 fn a_gate_that_says_nothing_takes_no_new_clients_until_it_speaks() {
     let mut catalog = catalog();
     catalog.gate(0, gate_key(), 4, gate(true));
-    assert_eq!(catalog.gates().count(), 1);
+    assert_eq!(ready_gates(&catalog), 1);
     let gone = catalog.expire(3 * SECOND);
     assert_matches!(&gone[..], [entry] if entry.version > 4 && entry.version < 8);
-    assert_eq!(catalog.gates().count(), 0);
+    assert_eq!(ready_gates(&catalog), 0);
     assert!(catalog.gate(4 * SECOND, gate_key(), 8, gate(true)).is_some());
-    assert_eq!(catalog.gates().count(), 1);
+    assert_eq!(ready_gates(&catalog), 1);
+}
+
+fn presence(catalog: &Catalog) -> Option<GatePresence> {
+    Some(catalog.gates().next()?.record.presence())
+}
+
+/// The directory sends clients to another region only where a region was lost, not where it restarts.
+#[test]
+fn a_gate_that_ends_is_told_from_one_that_is_lost() {
+    for (ready, then) in [(true, GatePresence::Lost), (false, GatePresence::Ended)] {
+        let mut catalog = catalog();
+        catalog.gate(0, gate_key(), 4, gate(ready));
+        catalog.expire(3 * SECOND);
+        assert_eq!(presence(&catalog), Some(then));
+        assert_eq!(catalog.gates().next().map(|gate| gate.heard), Some(0));
+    }
 }
 
 #[test]
--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -10,9 +10,9 @@
 use eyre::{Result, WrapErr as _};
 use ironmast_schema::configuration::Configuration;
 use ironmast_schema::registration::Heartbeat;
-use serde::Deserialize;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::resolve;
 use crate::state::{Command, Reply};
 
 /// The longest body, in bytes.
@@ -117,15 +117,6 @@
     ask(&commands, |to| Command::Evacuate(zone.into_inner(), false, to)).await
 }
 
-#[derive(Deserialize)]
-struct Place {
-    #[serde(default)]
-    region: String,
-    #[serde(default)]
-    zone: String,
-}
-
-async fn resolve(commands: Data<Commands>, place: Query<Place>) -> HttpResponse {
-    let Place { region, zone } = place.into_inner();
-    ask(&commands, |to| Command::Resolve(region, zone, to)).await
+async fn resolve(commands: Data<Commands>, query: Query<resolve::Query>) -> HttpResponse {
+    ask(&commands, |to| Command::Resolve(query.into_inner(), to)).await
 }
--- a/crates/coordinator/src/resolve/tests.rs
+++ b/crates/coordinator/src/resolve/tests.rs
@@ -1,45 +1,118 @@
 //! Which gates a client is sent to.
 
-use std::collections::BTreeMap;
-
 use super::*;
 
-fn gates(places: &[(u8, &str, &str)]) -> BTreeMap<SocketAddr, GateRecord> {
-    let gate = |(number, region, zone): &(u8, &str, &str)| {
-        let record =
-            GateRecord { zone: zone.to_string(), region: region.to_string(), ready: true, gone: false };
-        (SocketAddr::from(([10, 0, 0, *number], 80)), record)
+const ZONE: &str = "north-a";
+
+fn gate(zone: &str, ready: bool, gone: bool) -> GateRecord {
+    let region = zone.split('-').next().expect("a region").to_string();
+    GateRecord { zone: zone.to_string(), region, ready, gone }
+}
+
+fn ready(zone: &str) -> GateRecord {
+    gate(zone, true, false)
+}
+
+fn unready(zone: &str) -> GateRecord {
+    gate(zone, false, false)
+}
+
+fn ended(zone: &str) -> GateRecord {
+    gate(zone, false, true)
+}
+
+fn lost(zone: &str) -> GateRecord {
+    gate(zone, true, true)
+}
+
+/// Routes of `a.example` with these homes, and one of another host that is at home in the east.
+fn configuration(homes: &[&[&str]]) -> Configuration {
+    let route = |number: usize, host: &str, homes: &[&str]| {
+        let route = serde_json::json!({"name": format!("r{number}"), "hostname": host,
+            "path_prefix": format!("/{number}/"), "type": "safe", "timeout_ms": 1000, "backend": "x",
+            "allowed_regions": homes});
+        route.to_string()
     };
-    places.iter().map(gate).collect()
+    let others = [route(0, "b.example", &["east"]), route(1, "a.example", &[])];
+    let routes = homes.iter().enumerate().map(|(number, homes)| route(number + 2, "a.example", homes));
+    let routes: Vec<String> = others.into_iter().chain(routes).collect();
+    let text = format!(r#"{{"generation":1,"routes":[{}],"services":[{{"name":"x"}}]}}"#, routes.join(","));
+    Configuration::parse(text.as_bytes()).expect("a sound configuration")
+}
+
+/// The numbers of the gates that a client in [`ZONE`] gets; each was heard of after the one before it.
+fn resolved_with(configuration: Option<&Configuration>, gates: &[GateRecord]) -> Vec<usize> {
+    let address = |number: usize| SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 80));
+    let gates: Vec<Gate<'_>> = (0..)
+        .zip(gates)
+        .map(|(number, record)| Gate { frontend: address(number), record, heard: number as u64 })
+        .collect();
+    let query = Query { name: "A.example".to_string(), region: "north".to_string(), zone: ZONE.to_string() };
+    let found = addresses(&gates, configuration, &query);
+    found.iter().map(|found| gates.iter().position(|gate| gate.frontend == *found).expect("known")).collect()
 }
 
-fn resolved(gates: &BTreeMap<SocketAddr, GateRecord>, region: &str, zone: &str) -> Vec<String> {
-    let addresses = addresses(gates.iter().map(|(address, gate)| (*address, gate)), region, zone);
-    addresses.iter().map(|address| address.ip().to_string()).collect()
+fn resolved(homes: &[&[&str]], gates: &[GateRecord]) -> Vec<usize> {
+    resolved_with(Some(&configuration(homes)), gates)
 }
 
-const PLACES: [(u8, &str, &str); 4] =
-    [(1, "north", "north-a"), (2, "north", "north-b"), (3, "north", "north-b"), (4, "south", "south-a")];
+const NORTH: &[&str] = &["north"];
+const SOUTH: &[&str] = &["south"];
 
 #[test]
 fn the_gates_of_the_zone_come_first() {
-    assert_eq!(resolved(&gates(&PLACES), "north", "north-b"), ["10.0.0.2", "10.0.0.3"]);
+    let gates = [ready("north-b"), ready(ZONE), ready("south-a"), ready(ZONE)];
+    assert_eq!(resolved(&[], &gates), [1, 3]);
 }
 
 #[test]
 fn else_those_of_the_region() {
-    assert_eq!(resolved(&gates(&PLACES), "north", "north-c"), ["10.0.0.1", "10.0.0.2", "10.0.0.3"]);
+    let gates = [ready("north-b"), unready(ZONE), lost(ZONE), ready("south-a"), ready("north-c")];
+    assert_eq!(resolved(&[], &gates), [0, 4]);
+}
+
+#[test]
+fn else_all_where_no_route_of_the_host_has_homes() {
+    let gates = [ended("north-b"), unready(ZONE), ready("south-a"), ready("west-a")];
+    assert_eq!(resolved(&[], &gates), [2, 3]);
+}
+
+#[test]
+fn a_region_that_restarts_does_not_lose_its_clients_to_a_region_that_is_no_home() {
+    let gates = [ended("north-b"), unready(ZONE), ready("south-a"), unready("north-b")];
+    assert_eq!(resolved(&[NORTH], &gates), [1, 3]);
+    let gates = [lost("north-b"), ended(ZONE), ready("south-a")];
+    assert!(resolved(&[NORTH], &gates).is_empty());
+}
+
+#[test]
+fn a_region_that_restarts_may_be_stood_in_for_by_the_homes() {
+    let gates = [ended("north-b"), unready(ZONE), ready("south-a"), ready("west-a")];
+    assert_eq!(resolved(&[&["south", "north"]], &gates), [2]);
+    assert_eq!(resolved(&[&["south", "west"], SOUTH], &gates), [2]);
+    // No region is a home of both.
+    assert_eq!(resolved(&[NORTH, SOUTH], &gates), [1]);
+}
+
+#[test]
+fn a_region_that_was_lost_is_stood_in_for_by_all() {
+    let gates = [ended("north-b"), lost(ZONE), ready("south-a")];
+    assert_eq!(resolved(&[NORTH], &gates), [2]);
 }
 
+/// A coordinator that has just started knows neither the region's gates nor its routes' homes.
 #[test]
-fn else_all() {
-    assert_eq!(resolved(&gates(&PLACES), "west", "west-a").len(), 4);
+fn where_nothing_is_known_no_other_region_is_named() {
+    let gates = [ready("south-a")];
+    assert!(resolved(&[NORTH], &gates).is_empty());
+    assert!(resolved_with(None, &gates).is_empty());
+    assert_eq!(resolved_with(None, &[ready("south-a"), ready("north-b")]), [1]);
 }
 
 #[test]
 fn an_answer_names_64_at_most() {
-    let places: Vec<(u8, &str, &str)> = (0..100).map(|number| (number, "north", "north-a")).collect();
-    assert_eq!(resolved(&gates(&places), "north", "north-a").len(), 64);
+    let gates = vec![ready(ZONE); 100];
+    assert_eq!(resolved(&[], &gates).len(), 64);
 }
 
 #[test]
--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -36,8 +36,8 @@
     ReadConfiguration(oneshot::Sender<Reply>),
     /// Empty a zone, or take that back.
     Evacuate(String, bool, oneshot::Sender<Reply>),
-    /// Where a client in this region and zone may go.
-    Resolve(String, String, oneshot::Sender<Reply>),
+    /// Where a client may go.
+    Resolve(resolve::Query, oneshot::Sender<Reply>),
 }
 
 /// What the handler answers.
@@ -134,8 +134,10 @@
                 let effects = self.replica.change(change, to);
                 return self.carry_out(effects);
             }
-            Command::Resolve(region, zone, to) => {
-                let addresses = resolve::addresses(self.catalog.gates(), &region, &zone);
+            Command::Resolve(query, to) => {
+                let gates: Vec<_> = self.catalog.gates().collect();
+                let configuration = self.in_force.as_ref().map(|(_, configuration)| configuration);
+                let addresses = resolve::addresses(&gates, configuration, &query);
                 (resolve::answer(&addresses, self.ttl_s), to)
             }
         };
--- a/crates/schema/src/control.rs
+++ b/crates/schema/src/control.rs
@@ -73,19 +73,44 @@
     Gone,
 }
 
-/// What a gate says of itself.
+/// What is known of a gate.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GateRecord {
     /// Its zone.
     pub zone: String,
     /// Its region.
     pub region: String,
-    /// It takes new clients.
+    /// It takes new clients; of one that has gone, whether it did when last heard.
     pub ready: bool,
     /// It has gone.
     pub gone: bool,
 }
 
+/// Whether a gate serves, and if not, whether it said so before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum GatePresence {
+    /// It takes new clients.
+    Ready,
+    /// It is there and takes no new clients: it starts, or finishes its last requests.
+    Unready,
+    /// It has ended, and had stopped taking clients before.
+    Ended,
+    /// It has gone without a word.
+    Lost,
+}
+
+impl GateRecord {
+    /// Whether it serves, and if not, whether it said so before.
+    pub fn presence(&self) -> GatePresence {
+        match (self.gone, self.ready) {
+            (false, true) => GatePresence::Ready,
+            (false, false) => GatePresence::Unready,
+            (true, false) => GatePresence::Ended,
+            (true, true) => GatePresence::Lost,
+        }
+    }
+}
+
 /// From an agent or a coordinator to a coordinator.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ToCoordinator {
