--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -49,6 +49,21 @@
     Outdated(Box<Entry>),
 }
 
+/// A gate that is known.
+#[derive(Debug, Clone, Copy)]
+pub struct Gate<'a> {
+    /// Where clients reach it.
+    pub frontend: SocketAddr,
+    /// The latest word about it.
+    pub record: &'a GateRecord,
+    /// When it was last heard of.
+    pub heard: Micros,
+    /// Whether any coordinator has heard it within the patience.
+    pub is_heard: bool,
+    /// Whether it has spoken to this coordinator itself within the patience.
+    pub is_heard_here: bool,
+}
+
 /// The catalog of one coordinator.
 #[derive(Debug)]
 pub struct Catalog {
@@ -203,23 +218,20 @@
         out
     }
 
-    /// The gates that take new clients and were heard of lately, with their records.
-    pub fn gates(&self, now: Micros) -> impl Iterator<Item = (SocketAddr, &GateRecord)> {
-        self.gates_heard(move |heard| now <= heard.at + self.patience.gate)
-    }
-
-    /// Those of [`Catalog::gates`] that lately spoke to this coordinator itself.
-    pub fn gates_heard_here(&self, now: Micros) -> impl Iterator<Item = (SocketAddr, &GateRecord)> {
-        self.gates_heard(move |heard| heard.here.is_some_and(|here| now <= here + self.patience.gate))
-    }
-
-    fn gates_heard(
-        &self,
-        is_heard: impl Fn(&Heard) -> bool,
-    ) -> impl Iterator<Item = (SocketAddr, &GateRecord)> {
+    /// The gates that are known, those that have gone among them.
+    pub fn gates(&self, now: Micros) -> impl Iterator<Item = Gate<'_>> {
+        let patience = self.patience.gate;
         self.entries.iter().filter_map(move |(key, entry)| match (key, &entry.value) {
-            (Key::Gate(address), Value::Gate(record)) if !record.gone && record.ready => {
-                self.heard.get(key).is_some_and(&is_heard).then_some((*address, record))
+            (Key::Gate(frontend), Value::Gate(record)) => {
+                let heard = self.heard.get(key);
+                let is_recent = |at: Micros| now <= at + patience;
+                Some(Gate {
+                    frontend: *frontend,
+                    record,
+                    heard: heard.map_or(self.started, |heard| heard.at),
+                    is_heard: heard.is_some_and(|heard| is_recent(heard.at)),
+                    is_heard_here: heard.and_then(|heard| heard.here).is_some_and(is_recent),
+                })
             }
             _ => None,
         })
--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -42,8 +42,8 @@
     ReadConfiguration(oneshot::Sender<Reply>),
     /// Empty a zone, or take that back.
     Evacuate(String, bool, oneshot::Sender<Reply>),
-    /// Where a client in this region and zone may go.
-    Resolve(String, String, oneshot::Sender<Reply>),
+    /// Where a client may go.
+    Resolve(resolve::Query, oneshot::Sender<Reply>),
 }
 
 /// What the handler answers.
@@ -162,8 +162,8 @@
                 self.decide(Request::Evacuation, change, to);
             }
             Command::ReadConfiguration(to) => self.read(to),
-            Command::Resolve(region, zone, to) => {
-                let _ = to.send(self.resolve(&region, &zone));
+            Command::Resolve(query, to) => {
+                let _ = to.send(self.resolve(&query));
             }
         }
     }
@@ -227,14 +227,14 @@
         self.carry_out(effects);
     }
 
-    fn resolve(&self, region: &str, zone: &str) -> Reply {
-        let now = self.now();
+    fn resolve(&self, query: &resolve::Query) -> Reply {
+        let gates: Vec<_> = self.catalog.gates(self.now()).collect();
         let addresses = match self.standing.treatment(Request::Resolve) {
-            Treatment::Everybody => resolve::addresses(self.catalog.gates(now), region, zone),
-            _ => {
-                let gates = self.catalog.gates_heard_here(now);
-                resolve::addresses(gates.filter(|(_, gate)| gate.region == region), region, zone)
+            Treatment::Everybody => {
+                let configuration = self.in_force.as_ref().map(|(_, configuration)| configuration);
+                resolve::addresses(&gates, configuration, query)
             }
+            _ => resolve::addresses_heard_here(&gates, query),
         };
         resolve::answer(&addresses, self.ttl_s)
     }
