mesh: what waits for a peer is bounded, and a closed connection ends within a second

Cause, by reading: the queue of a connection had no bound, so a peer that keeps its connection and doesn't read let it grow until the overlay closed the link, and then the task went on holding all of it, as the queue of a closed connection was still to be written out. What connections read was not bounded either where the driver is behind.

A closed connection has a second to write out what waits. Connections wait until the driver has heard what they read before.

--- a/crates/mesh/src/connections.rs
+++ b/crates/mesh/src/connections.rs
@@ -6,7 +6,8 @@
 
 use ironmast_overlay::Message;
 use serde::{Deserialize, Serialize};
-use tokio::sync::mpsc;
+
+use crate::queue::Queue;
 
 /// Names a connection of this node.
 pub type ConnectionId = u64;
@@ -23,12 +24,12 @@
 /// The connections of a node, by peer.
 #[derive(Debug, Default)]
 pub struct Connections {
-    peers: BTreeMap<SocketAddr, Vec<(ConnectionId, mpsc::UnboundedSender<Message>)>>,
+    peers: BTreeMap<SocketAddr, Vec<(ConnectionId, Queue)>>,
 }
 
 impl Connections {
     /// Adds a connection; true where it is the first to its peer.
-    pub fn add(&mut self, peer: SocketAddr, id: ConnectionId, queue: mpsc::UnboundedSender<Message>) -> bool {
+    pub fn add(&mut self, peer: SocketAddr, id: ConnectionId, queue: Queue) -> bool {
         let connections = self.peers.entry(peer).or_default();
         connections.push((id, queue));
         connections.len() == 1
@@ -50,10 +51,12 @@
         self.peers.remove(&peer);
     }
 
-    /// Queues a message; it is dropped where there is no connection.
-    pub fn send(&self, peer: SocketAddr, message: Message) {
-        if let Some((_, queue)) = self.peers.get(&peer).and_then(|connections| connections.first()) {
-            let _ = queue.send(message);
+    /// Queues a message; it is dropped where there is no connection. False where too much waits for the peer already.
+    #[must_use]
+    pub fn send(&self, peer: SocketAddr, message: Message) -> bool {
+        match self.peers.get(&peer).and_then(|connections| connections.first()) {
+            Some((_, queue)) => queue.push(message),
+            None => true,
         }
     }
 
--- a/crates/mesh/src/driver.rs
+++ b/crates/mesh/src/driver.rs
@@ -13,22 +13,27 @@
 
 use crate::Command;
 use crate::connections::{ConnectionId, Connections, Frame};
+use crate::queue::{Queue, queue};
 
 /// A connection must come up within this, and tell who opened it.
 const CONNECT: Duration = Duration::from_millis(1_000);
+/// What was sent before a connection is closed must have left within this.
+const FLUSH: Duration = Duration::from_millis(1_000);
+/// What connections may tell before the driver has heard it; then they read no more.
+const TOLD_MOST: usize = 256;
 /// After an accept that failed.
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// What a connection tells the driver.
 #[derive(Debug)]
 enum Told {
-    Opened(SocketAddr, ConnectionId, mpsc::UnboundedSender<Message>),
+    Opened(SocketAddr, ConnectionId, Queue),
     Received(SocketAddr, ConnectionId, Message),
     Closed(SocketAddr, ConnectionId),
     Failed(SocketAddr),
 }
 
-type Tell = mpsc::UnboundedSender<Told>;
+type Tell = mpsc::Sender<Told>;
 
 /// A number that is higher at each start: the time of day in ms.
 pub fn incarnation() -> u64 {
@@ -57,7 +62,7 @@
     log: Logger,
 ) {
     let clock = Instant::now();
-    let (tell, mut told) = mpsc::unbounded_channel();
+    let (tell, mut told) = mpsc::channel(TOLD_MOST);
     let own = me.address;
     let overlay = Overlay::new(me, Settings::default(), rand::random(), clock.elapsed());
     let (connections, next_connection, timer) = Default::default();
@@ -123,9 +128,18 @@
         }
     }
 
+    /// Lets go of a peer that doesn't read; it is connected to again as to one that has failed.
+    fn send(&mut self, to: SocketAddr, message: Message) {
+        if !self.connections.send(to, message) {
+            debug!(self.log, "a peer does not read"; "peer" => %to);
+            self.connections.close(to);
+            self.handle(Event::Disconnected(to));
+        }
+    }
+
     fn carry_out(&mut self, action: Action) {
         match action {
-            Action::Send { to, message } => self.connections.send(to, message),
+            Action::Send { to, message } => self.send(to, message),
             Action::Connect(to) => self.connect(to),
             Action::Disconnect(peer) => self.connections.close(peer),
             Action::Changed { payload: Some(payload), .. } => self.tell_news(&payload),
@@ -145,7 +159,7 @@
         let (id, tell, own) = (self.number(), self.tell.clone(), self.own);
         actix_rt::spawn(async move {
             if open(to, id, own, &tell).await.is_err() {
-                let _ = tell.send(Told::Failed(to));
+                let _ = tell.send(Told::Failed(to)).await;
             }
         });
     }
@@ -185,24 +199,29 @@
     mut sender: link::Sender<Frame>,
     tell: &Tell,
 ) {
-    let (to, mut queue) = mpsc::unbounded_channel();
-    let _ = tell.send(Told::Opened(peer, id, to));
+    let (to, mut queue, closed) = queue();
+    let _ = tell.send(Told::Opened(peer, id, to)).await;
     let sending = async {
         // Ends once the driver has let go of the connection and everything queued has left.
-        while let Some(message) = queue.recv().await {
+        while let Some(message) = queue.next().await {
             sender.send(&Frame::Message(message)).await?;
         }
         Ok::<(), eyre::Report>(())
     };
     let receiving = async {
         while let Some(Frame::Message(message)) = receiver.next().await? {
-            let _ = tell.send(Told::Received(peer, id, message));
+            let _ = tell.send(Told::Received(peer, id, message)).await;
         }
         Ok::<(), eyre::Report>(())
     };
+    let flushed = async {
+        closed.await;
+        tokio::time::sleep(FLUSH).await;
+    };
     tokio::select! {
         _ = sending => {}
         _ = receiving => {}
+        () = flushed => {}
     }
-    let _ = tell.send(Told::Closed(peer, id));
+    let _ = tell.send(Told::Closed(peer, id)).await;
 }
--- a/crates/mesh/src/lib.rs
+++ b/crates/mesh/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod connections;
 mod driver;
+mod queue;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
