mesh: tests over loopback, with the other end of each connection played by the test

Three: two connections opened at once, either of which may end (fails with a `remove` that reports every end as the last: the link is lost); what was sent arrives before the end; a peer that does not read is let go of, while another is served (fails without the bound: all 1,500 entries of 32 KiB wait for it and arrive).

--- a/crates/mesh/src/driver.rs
+++ b/crates/mesh/src/driver.rs
@@ -1,5 +1,8 @@
 //! Drives the overlay: its events come from connections, the clock and the owner; its actions go to connections.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
