What is read ahead of a request in hand is bounded, the rest kept: a flood costs no processor

Cause (actix-http 3.19, h1/dispatcher.rs, read_available; 3.20 does the same): once its buffer holds 128 KiB it reads no more and wakes its own task on each poll. While a request is answered and 16 more are queued it takes nothing out, so it is polled without end. Change (crates/transport): read_ahead.rs. 32 KiB in one go, 32 KiB behind the request in hand, which lasts until its answer is written (streams and slow readers, too); pending without a wake. Nothing is estimated: room comes back where the buffer is known to be parsed (no request in hand) or a body is known to be drawn. Fewer than 32 lines are no queue of 16 requests: they're read on, so a head too long still gets its 431. What is left unread is kept, 128 KiB, and given to the reader in its turn; only behind that is it thrown away and the answer closes the connection. Ruled out: a newer actix-http (3.20 has the same lines); a filter on wakes (a handler's own wake may be the one swallowed); estimates of what requests take (they drift); reading on into the gap.

--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -1,16 +1,14 @@
 //! One client connection: what its traffic tells, and when it is to be closed.
 
-use std::cell::{Cell, RefCell};
-use std::future::poll_fn;
-use std::io;
-use std::rc::{Rc, Weak};
-use std::task::{Poll, ready};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::task::{Context, Poll};
 
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
 use crate::bodies::Pace;
 use crate::clock::{Clock, Micros};
+use crate::read_ahead::ReadAhead;
 use crate::sockets::StreamObserver;
 
 /// A new connection is not taken for a silent one before this, and one that is in the middle of a request not
@@ -47,6 +45,8 @@
     /// It is to be closed once it waits for no answer; nothing is read any more.
     close_after: Cell<bool>,
     read_out: Cell<bool>,
+    /// What has been read of it ahead of the request in hand.
+    ahead: ReadAhead,
     /// When bytes last came.
     moved: Cell<Micros>,
     /// When it came, was last written to, or began its next request: its time limits count from then.
@@ -65,6 +65,7 @@
         let (whole, spoilt, close_after, read_out) = Default::default();
         let (moved, close) = Default::default();
         let since = Cell::new(clock.now());
+        let ahead = ReadAhead::new();
         let pace = Rc::new(Cell::new(Pace::new(0, 0)));
         Rc::new(ClientConnection {
             asked,
@@ -75,6 +76,7 @@
             spoilt,
             close_after,
             read_out,
+            ahead,
             moved,
             since,
             pace,
@@ -167,6 +169,22 @@
         self.answered.get() && !self.asked.get()
     }
 
+    /// A request of it is in hand until the guard is dropped: no more is read ahead than actix-http can hold.
+    pub(crate) fn take_in_hand(self: &Rc<Self>) -> InHand {
+        self.ahead.begin();
+        InHand(Rc::clone(self))
+    }
+
+    /// All that has come of the body of the request in hand is drawn, and more is waited for, at most `rest` bytes.
+    pub(crate) fn note_drawn(&self, rest: usize) {
+        self.ahead.drawn(rest);
+    }
+
+    /// The rest of that body, at most so many bytes, is drawn by nobody.
+    pub(crate) fn note_abandoned(&self, rest: usize) {
+        self.ahead.abandoned(rest);
+    }
+
     /// An answer goes out.
     pub(crate) fn note_answered(&self) {
         self.answered.set(true);
@@ -206,12 +224,19 @@
 }
 
 impl StreamObserver for Rc<ClientConnection> {
-    fn may_read(&self) -> bool {
-        // Guards against what comes behind a gap being taken for a request.
-        !self.spoilt.get() && !self.read_out.get()
+    fn poll_may_read(&self, cx: &mut Context<'_>) -> Poll<usize> {
+        if self.read_out.get() {
+            return Poll::Ready(0);
+        }
+        self.ahead.poll_room(cx)
     }
 
-    fn got(&self) {
+    fn ran_dry(&self) {
+        self.ahead.ran_dry();
+    }
+
+    fn got(&self, bytes: &[u8]) {
+        self.ahead.read(bytes);
         self.moved.set(self.clock.now());
         if !self.begun.replace(true) {
             self.since.set(self.clock.now());
@@ -254,19 +279,11 @@
     }
 }
 
-/// Waits until something has come that nobody reads, and throws it away; true once the client has left.
-pub(crate) async fn thrown_away(stream: &Weak<RefCell<TcpStream>>) -> bool {
-    poll_fn(|cx| {
-        let Some(stream) = stream.upgrade() else { return Poll::Pending };
-        loop {
-            let ready = ready!(stream.borrow().poll_read_ready(cx));
-            let mut scratch = [0; 4 * 1024];
-            match ready.and_then(|()| stream.borrow().try_read(&mut scratch)) {
-                Ok(bytes) => return Poll::Ready(bytes == 0),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(_) => return Poll::Ready(true),
-            }
-        }
-    })
-    .await
+/// Held while a request is handled and its answer written.
+pub(crate) struct InHand(Rc<ClientConnection>);
+
+impl Drop for InHand {
+    fn drop(&mut self) {
+        self.0.ahead.over();
+    }
 }
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -21,5 +21,6 @@
 mod framing;
 pub mod link;
 pub mod listener;
+mod read_ahead;
 pub mod request_body;
 pub mod sockets;
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -4,21 +4,24 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
-use actix_http::body::BoxBody;
+use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::{
     ConnectionType, Extensions, HttpMessage as _, HttpService, KeepAlive, Request, Response, StatusCode,
 };
 use actix_service::{Service as _, ServiceFactory as _, fn_service};
+use bytes::Bytes;
 use slog::{Logger, warn};
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, watch};
 
 use crate::clock::Clock;
-use crate::connection::{ClientConnection, ClientLimits, thrown_away};
-use crate::sockets::{Budget, ObservedStream};
+use crate::connection::{ClientConnection, ClientLimits, InHand};
+use crate::sockets::{Budget, ObservedStream, Unread};
 
 /// After an accept that failed, the next waits this long; so does the next try to make room for one.
 const PAUSE: Duration = Duration::from_millis(20);
@@ -180,7 +183,7 @@
                 drop(data.insert(Rc::clone(&io.observer)))
             })
             .h1(handler);
-        let unread = stream.watched();
+        let unread = stream.watch_unread();
         if let Ok(service) = service.new_service(()).await {
             let served = service.call((stream, None));
             tokio::pin!(served);
@@ -188,11 +191,12 @@
                 tokio::select! {
                     biased;
                     _ = &mut served => break,
-                    // What the connection has not read by now it does not read: guards against clients that leave
+                    // What the connection has not read by now it does not read yet: guards against clients that leave
                     // behind what is no request, or more than is read.
-                    left = thrown_away(&unread), if connection.is_whole() => match left {
-                        true => break,
-                        false => connection.spoil(),
+                    unread = unread.next(|| connection.is_whole()) => match unread {
+                        Unread::Kept => {}
+                        Unread::ThrownAway => connection.spoil(),
+                        Unread::Ended => break,
                     },
                     // Guards against endless heads and bodies, and against clients that say nothing.
                     () = tokio::time::sleep_until(self.clock.at(connection.look_at()).into()) => {
@@ -234,11 +238,12 @@
         }
     }
 
-    async fn answer(&self, request: Request) -> Response<BoxBody> {
+    async fn answer(&self, request: Request) -> Response<AnswerBody> {
         let Some(connection) = request.conn_data::<Rc<ClientConnection>>().map(Rc::clone) else {
-            return Response::with_body(StatusCode::INTERNAL_SERVER_ERROR, "no connection\n")
-                .map_into_boxed_body();
+            let response = Response::with_body(StatusCode::INTERNAL_SERVER_ERROR, "no connection\n");
+            return response.map_body(|_, text| AnswerBody { body: BoxBody::new(text), _in_hand: None });
         };
+        let in_hand = connection.take_in_hand();
         let mut response = match head_bytes(&request) > connection.limits().max_header_bytes {
             true => too_large(),
             false => self.service.handle(request, &connection).await,
@@ -248,7 +253,25 @@
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
         connection.note_answered();
-        response
+        response.map_body(|_, body| AnswerBody { body, _in_hand: Some(in_hand) })
+    }
+}
+
+/// An answer's body. The request is in hand until it is written.
+struct AnswerBody {
+    body: BoxBody,
+    _in_hand: Option<InHand>,
+}
+
+impl MessageBody for AnswerBody {
+    type Error = <BoxBody as MessageBody>::Error;
+
+    fn size(&self) -> BodySize {
+        self.body.size()
+    }
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, Self::Error>>> {
+        Pin::new(&mut self.body).poll_next(cx)
     }
 }
 
--- /dev/null
+++ b/crates/transport/src/read_ahead.rs
@@ -0,0 +1,153 @@
+//! How much of a client connection is read ahead of the request in hand.
+//!
+//! Once the buffer of actix-http (3.19 and 3.20, `h1/dispatcher.rs`, `read_available`) holds 128 KiB it reads no more and
+//! wakes its own task on each poll instead. That ends where a poll takes something out of the buffer. While a request
+//! is answered and 16 more are queued behind it none does, and the task is polled without end. So the buffer is kept
+//! from filling: what comes meanwhile is left unread, without a wake, until the answer is written.
+//!
+//! What the buffer holds is known at two moments only: before a request is taken in hand all that has come is parsed,
+//! and where the request's body is waited for all of it has been drawn. Nothing in between has to be estimated.
+
+use std::cell::{Cell, RefCell};
+use std::task::{Context, Poll, Waker};
+
+/// Bytes read in one go, before the connection looks at what has come, and bytes read ahead of the request in hand.
+/// With as much that was left unparsed by the one before, and a body's part, it is less than actix-http holds.
+pub(crate) const READ_AHEAD_MOST: usize = 32 * 1024;
+/// So much more is read of a body that is drawn.
+const BODY_PART: usize = 32 * 1024;
+/// Requests that actix-http queues before it stops parsing; each has two lines at the least.
+const QUEUE: usize = 16;
+const LINES_OF_QUEUE: usize = 2 * QUEUE;
+
+/// Counts what is read of one connection while a request of it is in hand.
+pub(crate) struct ReadAhead {
+    /// A request is handled, or its answer written.
+    in_hand: Cell<bool>,
+    /// None was in hand when bytes were last read: they are parsed before one is.
+    rested: Cell<bool>,
+    /// How many more bytes may be read, until the request in hand is over or in this go.
+    room: Cell<usize>,
+    /// Lines that came with the requests that may be queued.
+    lines: Cell<usize>,
+    /// All that had come has been parsed while none was in hand.
+    parsed: Cell<bool>,
+    /// Some have come behind it, or been left unread.
+    behind: Cell<bool>,
+    /// Reads on when it is over, or its body is waited for.
+    reader: RefCell<Option<Waker>>,
+}
+
+impl ReadAhead {
+    pub fn new() -> Self {
+        let (in_hand, rested, parsed, behind) = Default::default();
+        let (lines, reader) = Default::default();
+        ReadAhead { in_hand, rested, room: Cell::new(READ_AHEAD_MOST), lines, parsed, behind, reader }
+    }
+
+    /// How many bytes may be read now. Pending after a long go; and, without a wake, while a request is in hand and
+    /// enough has come behind it.
+    pub fn poll_room(&self, cx: &Context<'_>) -> Poll<usize> {
+        match self.in_hand.get() {
+            true => self.poll_behind(cx),
+            false => self.poll_go(cx),
+        }
+    }
+
+    fn poll_go(&self, cx: &Context<'_>) -> Poll<usize> {
+        let (first, behind) = (!self.rested.replace(true), self.behind.take());
+        // What came behind the last request may wait to be parsed.
+        if self.parsed.take() || first && !behind {
+            self.lines.set(0);
+        }
+        if first {
+            self.room.set(READ_AHEAD_MOST);
+        }
+        if self.room.get() == 0 {
+            self.room.set(READ_AHEAD_MOST);
+            self.parsed.set(true);
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        Poll::Ready(self.room.get())
+    }
+
+    fn poll_behind(&self, cx: &Context<'_>) -> Poll<usize> {
+        self.remember(cx.waker());
+        // So few lines are no queue: actix-http parses on and refuses what grows too long.
+        if self.room.get() == 0 && self.lines.get() < LINES_OF_QUEUE {
+            self.room.set(READ_AHEAD_MOST);
+        }
+        if self.room.get() > 0 {
+            return Poll::Ready(self.room.get());
+        }
+        self.behind.set(true);
+        Poll::Pending
+    }
+
+    /// There is nothing to read at the moment.
+    pub fn ran_dry(&self) {
+        self.parsed.set(!self.in_hand.get());
+    }
+
+    fn remember(&self, waker: &Waker) {
+        let mut reader = self.reader.borrow_mut();
+        if !reader.as_ref().is_some_and(|known| known.will_wake(waker)) {
+            *reader = Some(waker.clone());
+        }
+    }
+
+    /// These bytes have been read.
+    pub fn read(&self, bytes: &[u8]) {
+        self.room.set(self.room.get().saturating_sub(bytes.len()));
+        let lines = bytes.iter().filter(|&&byte| byte == b'\n').count();
+        self.lines.set(self.lines.get() + lines);
+        if self.in_hand.get() {
+            self.behind.set(true);
+        }
+    }
+
+    /// All that has come of the body of the request in hand is drawn, and more is waited for, at most `rest` bytes.
+    pub fn drawn(&self, rest: usize) {
+        self.allow(READ_AHEAD_MOST + rest.min(BODY_PART));
+    }
+
+    /// The rest of the body, at most so many bytes, is drawn by nobody: actix-http throws it away as it comes.
+    pub fn abandoned(&self, rest: usize) {
+        self.allow(rest.saturating_add(READ_AHEAD_MOST));
+    }
+
+    fn allow(&self, bytes: usize) {
+        let stopped = self.room.replace(bytes) == 0;
+        if stopped {
+            self.wake();
+        }
+    }
+
+    /// A request is taken in hand.
+    pub fn begin(&self) {
+        self.in_hand.set(true);
+        self.parsed.set(false);
+        if self.rested.take() {
+            self.room.set(READ_AHEAD_MOST);
+        }
+    }
+
+    /// Its answer is written, or nobody wants it any more. Guards requests that have come meanwhile against waiting
+    /// until more come: actix-http looks at its buffer once before it writes the answer, and not after it.
+    pub fn over(&self) {
+        self.in_hand.set(false);
+        if self.behind.get() {
+            self.wake();
+        }
+    }
+
+    fn wake(&self) {
+        if let Some(reader) = &*self.reader.borrow() {
+            reader.wake_by_ref();
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/transport/src/read_ahead/tests.rs
@@ -0,0 +1,172 @@
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::task::{Context, Poll, Wake, Waker};
+
+use super::{READ_AHEAD_MOST, ReadAhead};
+
+/// Of the buffer that is read into, so many bytes are free at a time.
+const PART: usize = 8 * 1024;
+
+/// Counts how often it is woken.
+#[derive(Default)]
+struct Woken(AtomicUsize);
+
+impl Wake for Woken {
+    fn wake(self: Arc<Self>) {
+        self.0.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+impl Woken {
+    fn times(&self) -> usize {
+        self.0.load(Ordering::SeqCst)
+    }
+}
+
+/// Reads as a connection does that has `most` bytes of many lines at once, until it is to leave off; bytes read.
+fn read_all(ahead: &ReadAhead, most: usize, cx: &Context<'_>) -> usize {
+    read_of(ahead, b'\n', most, cx)
+}
+
+/// The same of one byte.
+fn read_of(ahead: &ReadAhead, byte: u8, most: usize, cx: &Context<'_>) -> usize {
+    let mut read = 0;
+    while let Poll::Ready(room) = ahead.poll_room(cx) {
+        let bytes = room.min(PART).min(most - read);
+        if bytes == 0 {
+            break;
+        }
+        ahead.read(&vec![byte; bytes]);
+        read += bytes;
+    }
+    read
+}
+
+#[test]
+fn behind_a_request_in_hand_reading_stops_without_a_wake_until_it_is_over() {
+    let woken = Arc::new(Woken::default());
+    let waker = Waker::from(Arc::clone(&woken));
+    let cx = Context::from_waker(&waker);
+    let ahead = ReadAhead::new();
+    assert_eq!(read_all(&ahead, 100, &cx), 100);
+    ahead.begin();
+    assert_eq!(read_all(&ahead, 10 * READ_AHEAD_MOST, &cx), READ_AHEAD_MOST);
+    for _ in 0..100 {
+        assert!(ahead.poll_room(&cx).is_pending());
+    }
+    assert_eq!(woken.times(), 0, "nobody is woken in vain");
+    ahead.over();
+    assert_eq!(woken.times(), 1);
+    assert!(ahead.poll_room(&cx).is_ready());
+}
+
+/// Nothing is known of the buffer while one request follows another: what it holds may not grow.
+#[test]
+fn room_does_not_come_back_between_requests_that_follow_one_another() {
+    let cx = Context::from_waker(Waker::noop());
+    let ahead = ReadAhead::new();
+    assert_eq!(read_all(&ahead, 100, &cx), 100);
+    ahead.begin();
+    let mut read = 0;
+    for _ in 0..1_000 {
+        read += read_all(&ahead, PART, &cx);
+        ahead.over();
+        ahead.begin();
+    }
+    assert_eq!(read, READ_AHEAD_MOST);
+    ahead.over();
+    assert_eq!(read_all(&ahead, PART, &cx), PART, "none is in hand: all is parsed");
+}
+
+#[test]
+fn a_body_is_read_on_as_it_is_drawn() {
+    let woken = Arc::new(Woken::default());
+    let waker = Waker::from(Arc::clone(&woken));
+    let cx = Context::from_waker(&waker);
+    let ahead = ReadAhead::new();
+    assert_eq!(read_all(&ahead, 100, &cx), 100);
+    ahead.begin();
+    read_all(&ahead, 10 * READ_AHEAD_MOST, &cx);
+    for turn in 1..=10 {
+        ahead.drawn(100);
+        assert_eq!(woken.times(), turn);
+        assert_eq!(read_all(&ahead, 10 * READ_AHEAD_MOST, &cx), READ_AHEAD_MOST + 100);
+    }
+}
+
+#[test]
+fn a_body_that_nobody_draws_is_read_to_its_end() {
+    let woken = Arc::new(Woken::default());
+    let waker = Waker::from(Arc::clone(&woken));
+    let cx = Context::from_waker(&waker);
+    let ahead = ReadAhead::new();
+    ahead.poll_room(&cx).is_ready();
+    ahead.begin();
+    read_all(&ahead, 10 * READ_AHEAD_MOST, &cx);
+    ahead.abandoned(5 * READ_AHEAD_MOST);
+    assert_eq!(woken.times(), 1);
+    assert_eq!(read_all(&ahead, 100 * READ_AHEAD_MOST, &cx), 6 * READ_AHEAD_MOST, "and some behind it");
+}
+
+#[test]
+fn what_comes_in_one_go_is_looked_at_in_between() {
+    let woken = Arc::new(Woken::default());
+    let waker = Waker::from(Arc::clone(&woken));
+    let cx = Context::from_waker(&waker);
+    let ahead = ReadAhead::new();
+    for turn in 1..=10 {
+        assert_eq!(read_all(&ahead, 10 * READ_AHEAD_MOST, &cx), READ_AHEAD_MOST);
+        assert_eq!(woken.times(), turn, "each go ends with a wake");
+    }
+    ahead.begin();
+    assert_eq!(read_all(&ahead, 10 * READ_AHEAD_MOST, &cx), READ_AHEAD_MOST, "all before is parsed");
+}
+
+/// What is no queue of requests is parsed, and refused where it grows too long.
+#[test]
+fn a_long_line_is_read_on() {
+    let cx = Context::from_waker(Waker::noop());
+    let ahead = ReadAhead::new();
+    read_of(&ahead, b'#', 100, &cx);
+    ahead.ran_dry();
+    ahead.begin();
+    assert_eq!(read_of(&ahead, b'#', 10 * READ_AHEAD_MOST, &cx), 10 * READ_AHEAD_MOST);
+}
+
+/// The queue may have come with the request itself, or have been left unparsed by the one before.
+#[test]
+fn a_long_line_behind_a_queue_is_not_read_on() {
+    let cx = Context::from_waker(Waker::noop());
+    let ahead = ReadAhead::new();
+    read_all(&ahead, 100, &cx);
+    ahead.ran_dry();
+    ahead.begin();
+    assert_eq!(read_of(&ahead, b'#', 10 * READ_AHEAD_MOST, &cx), READ_AHEAD_MOST);
+    ahead.over();
+    read_of(&ahead, b'#', 100, &cx);
+    ahead.ran_dry();
+    ahead.begin();
+    assert_eq!(read_of(&ahead, b'#', 10 * READ_AHEAD_MOST, &cx), READ_AHEAD_MOST);
+    ahead.over();
+    for _ in 0..2 {
+        read_of(&ahead, b'#', 100, &cx);
+        ahead.ran_dry();
+    }
+    ahead.begin();
+    assert_eq!(read_of(&ahead, b'#', 10 * READ_AHEAD_MOST, &cx), 10 * READ_AHEAD_MOST);
+}
+
+#[test]
+fn a_request_behind_which_nothing_came_wakes_nobody() {
+    let woken = Arc::new(Woken::default());
+    let waker = Waker::from(Arc::clone(&woken));
+    let cx = Context::from_waker(&waker);
+    let ahead = ReadAhead::new();
+    for _ in 0..10 {
+        read_all(&ahead, 100, &cx);
+        ahead.begin();
+        assert_eq!(read_all(&ahead, 0, &cx), 0);
+        ahead.over();
+    }
+    assert_eq!(woken.times(), 0);
+}
--- a/crates/transport/src/request_body.rs
+++ b/crates/transport/src/request_body.rs
@@ -1,11 +1,13 @@
 //! Reading the body of a client's request: whole while it is short, on its way where it is long.
 
 use std::io;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 
 use actix_http::Payload;
 use bytes::{Bytes, BytesMut};
-use futures_util::{StreamExt as _, TryStreamExt as _};
+use futures_util::{Stream, StreamExt as _};
 
 use crate::bodies::{Held, Inflow, Paced, Parts};
 use crate::connection::ClientConnection;
@@ -47,7 +49,7 @@
     if length.is_some_and(|length| length > most as u64) {
         return Err(RequestBodyError::TooLong);
     }
-    let parts = Box::pin(payload.map_err(io::Error::other));
+    let parts = Box::pin(Drawn::new(payload, length.map_or(most, |length| length as usize), connection));
     let mut parts = Paced::new(parts, connection.clock(), connection.begin_body());
     let mut begun = BytesMut::new();
     // Nothing goes to a server before there is more than can be held: guards its connections against clients
@@ -77,3 +79,40 @@
     }));
     Ok(RequestBody::Flowing(Rc::new(Inflow::new((begun, parts), length, window, whole))))
 }
+
+/// What comes of a body, its connection told how it is drawn.
+struct Drawn {
+    payload: Payload,
+    /// Bytes that may still come; none once it has ended.
+    rest: usize,
+    connection: Rc<ClientConnection>,
+}
+
+impl Drawn {
+    fn new(payload: Payload, most: usize, connection: &Rc<ClientConnection>) -> Self {
+        Drawn { payload, rest: most, connection: Rc::clone(connection) }
+    }
+}
+
+impl Stream for Drawn {
+    type Item = Result<Bytes, io::Error>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let polled = self.payload.poll_next_unpin(cx).map_err(io::Error::other);
+        match &polled {
+            Poll::Pending => self.connection.note_drawn(self.rest),
+            Poll::Ready(Some(Ok(part))) => self.rest = self.rest.saturating_sub(part.len()),
+            Poll::Ready(_) => self.rest = 0,
+        }
+        polled
+    }
+}
+
+impl Drop for Drawn {
+    fn drop(&mut self) {
+        // Guards a client that writes on against standing still: what it sends is to be thrown away.
+        if self.rest > 0 {
+            self.connection.note_abandoned(self.rest);
+        }
+    }
+}
--- a/crates/transport/src/sockets.rs
+++ b/crates/transport/src/sockets.rs
@@ -1,14 +1,16 @@
 //! The budget of descriptors, and streams that give theirs back when dropped.
 
 use std::cell::{Cell, RefCell};
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::rc::{Rc, Weak};
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use actix_rt::net::{ActixStream, Ready, TcpStream};
+use bytes::BytesMut;
 use rustix::net::{AddressFamily, SocketType, sockopt};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
@@ -21,6 +23,11 @@
 /// Below this part of a share free, idle connections are closed.
 const SCARCE: usize = 8;
 
+/// Of bytes that their reader leaves unread, so many are kept for it.
+const KEPT_MOST: usize = 128 * 1024;
+/// They are taken in parts of this size.
+const UNREAD_PART: usize = 16 * 1024;
+
 /// A connection on which nothing is under way is probed this often: the system's least.
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
 /// The system's bound on unanswered probes.
@@ -163,19 +170,109 @@
     }
     /// So many were written.
     fn wrote(&self, _bytes: usize) {}
-    /// Asked before bytes are read: false where the stream is to look as if it had ended.
-    fn may_read(&self) -> bool {
-        true
+    /// Asked before bytes are read, how many may be: none where the stream is to look as if it had ended. Pending
+    /// where they are to be left for now; the observer wakes the task when they may be read.
+    fn poll_may_read(&self, _cx: &mut Context<'_>) -> Poll<usize> {
+        Poll::Ready(usize::MAX)
     }
-    /// Bytes have been read.
-    fn got(&self) {}
+    /// These have been read.
+    fn got(&self, _bytes: &[u8]) {}
+    /// There are none to read at the moment.
+    fn ran_dry(&self) {}
     /// The other side has closed.
     fn ended(&self) {}
 }
 
+/// A TCP stream, and what has been read of it ahead of its reader.
+#[derive(Debug)]
+struct Socket {
+    stream: TcpStream,
+    kept: BytesMut,
+    /// What came behind that is lost.
+    gap: bool,
+}
+
+impl Socket {
+    /// Reads no more than `most` bytes.
+    fn poll_read(
+        &mut self,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+        most: usize,
+    ) -> Poll<io::Result<()>> {
+        if !self.kept.is_empty() {
+            let bytes = self.kept.len().min(most).min(buf.remaining());
+            buf.put_slice(&self.kept.split_to(bytes));
+            return Poll::Ready(Ok(()));
+        }
+        // Guards against what comes behind a gap being taken for a request.
+        if self.gap {
+            return Poll::Ready(Ok(()));
+        }
+        if buf.remaining() <= most {
+            return Pin::new(&mut self.stream).poll_read(cx, buf);
+        }
+        let mut part = ReadBuf::new(buf.initialize_unfilled_to(most));
+        ready!(Pin::new(&mut self.stream).poll_read(cx, &mut part))?;
+        let bytes = part.filled().len();
+        buf.advance(bytes);
+        Poll::Ready(Ok(()))
+    }
+
+    /// Takes bytes that nobody reads: keeps them for the reader while there is room.
+    fn take_unread(&mut self) -> io::Result<Unread> {
+        let mut part = [0; UNREAD_PART];
+        let room = if self.gap { 0 } else { KEPT_MOST.saturating_sub(self.kept.len()) };
+        let most = if room > 0 { room.min(UNREAD_PART) } else { UNREAD_PART };
+        let bytes = self.stream.try_read(&mut part[..most])?;
+        if bytes == 0 {
+            return Ok(Unread::Ended);
+        }
+        if room == 0 {
+            self.gap = true;
+            return Ok(Unread::ThrownAway);
+        }
+        self.kept.extend_from_slice(&part[..bytes]);
+        Ok(Unread::Kept)
+    }
+}
+
+/// What became of bytes that nobody read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unread {
+    /// They wait for the reader.
+    Kept,
+    /// There were too many: they are lost. The stream ends before them for its reader.
+    ThrownAway,
+    /// The other side has closed.
+    Ended,
+}
+
+/// Watches, in the task of its reader, a stream that may be left unread.
+pub struct UnreadWatch(Weak<RefCell<Socket>>);
+
+impl UnreadWatch {
+    /// Waits until something has come that nobody reads. It is asked each time the task is polled whether that is to
+    /// be looked at `now`: the reader comes first.
+    pub async fn next(&self, now: impl Fn() -> bool) -> Unread {
+        poll_fn(|cx| {
+            let Some(socket) = self.0.upgrade().filter(|_| now()) else { return Poll::Pending };
+            loop {
+                let ready = ready!(socket.borrow().stream.poll_read_ready(cx));
+                match ready.and_then(|()| socket.borrow_mut().take_unread()) {
+                    Ok(unread) => return Poll::Ready(unread),
+                    Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                    Err(_) => return Poll::Ready(Unread::Ended),
+                }
+            }
+        })
+        .await
+    }
+}
+
 /// A TCP stream that holds a descriptor of the budget and tells a [`StreamObserver`].
 pub struct ObservedStream<T> {
-    stream: Rc<RefCell<TcpStream>>,
+    socket: Rc<RefCell<Socket>>,
     /// What watches it.
     pub observer: T,
     _slot: Slot,
@@ -186,33 +283,36 @@
     pub fn new(stream: TcpStream, observer: T, slot: Slot) -> Self {
         // Failing leaves a working, slower connection.
         let _ = stream.set_nodelay(true);
-        ObservedStream { stream: Rc::new(RefCell::new(stream)), observer, _slot: slot }
+        let socket = Socket { stream, kept: BytesMut::new(), gap: false };
+        ObservedStream { socket: Rc::new(RefCell::new(socket)), observer, _slot: slot }
     }
 
-    /// The stream itself, for whoever watches, in the same task, what nobody reads.
-    pub fn watched(&self) -> Weak<RefCell<TcpStream>> {
-        Rc::downgrade(&self.stream)
+    /// Watches what nobody reads, in the same task.
+    pub fn watch_unread(&self) -> UnreadWatch {
+        UnreadWatch(Rc::downgrade(&self.socket))
     }
 }
 
 impl<T> std::fmt::Debug for ObservedStream<T> {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        self.stream.fmt(f)
+        self.socket.fmt(f)
     }
 }
 
 impl<T: StreamObserver> AsyncRead for ObservedStream<T> {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        if !self.observer.may_read() {
+        let most = ready!(self.observer.poll_may_read(cx));
+        if most == 0 {
             return Poll::Ready(Ok(()));
         }
         let before = buf.filled().len();
-        let polled = Pin::new(&mut *self.stream.borrow_mut()).poll_read(cx, buf);
-        let closed = matches!(polled, Poll::Ready(Ok(())) if buf.filled().len() == before);
-        if closed || matches!(polled, Poll::Ready(Err(_))) {
-            self.observer.ended();
-        } else if polled.is_ready() {
-            self.observer.got();
+        let polled = self.socket.borrow_mut().poll_read(cx, buf, most);
+        let bytes = &buf.filled()[before..];
+        match &polled {
+            Poll::Ready(Ok(())) if !bytes.is_empty() => self.observer.got(bytes),
+            Poll::Ready(Ok(())) if self.socket.borrow().gap => {}
+            Poll::Ready(_) => self.observer.ended(),
+            Poll::Pending => self.observer.ran_dry(),
         }
         polled
     }
@@ -221,7 +321,7 @@
 impl<T: StreamObserver> AsyncWrite for ObservedStream<T> {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         self.observer.may_write()?;
-        let polled = Pin::new(&mut *self.stream.borrow_mut()).poll_write(cx, buf);
+        let polled = Pin::new(&mut self.socket.borrow_mut().stream).poll_write(cx, buf);
         if let Poll::Ready(Ok(bytes)) = polled {
             self.observer.wrote(bytes);
         }
@@ -229,20 +329,23 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_flush(cx)
+        Pin::new(&mut self.socket.borrow_mut().stream).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut *self.stream.borrow_mut()).poll_shutdown(cx)
+        Pin::new(&mut self.socket.borrow_mut().stream).poll_shutdown(cx)
     }
 }
 
 impl<T: StreamObserver> ActixStream for ObservedStream<T> {
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_read_ready(&*self.stream.borrow(), cx)
+        ActixStream::poll_read_ready(&self.socket.borrow().stream, cx)
     }
 
     fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_write_ready(&*self.stream.borrow(), cx)
+        ActixStream::poll_write_ready(&self.socket.borrow().stream, cx)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/transport/tests/listener.rs
+++ b/crates/transport/tests/listener.rs
@@ -1,6 +1,8 @@
 //! Client connections against a listener, over sockets: what survives a drain, what limits end, what an answer that
 //! breaks off looks like.
 
+#[path = "listener/floods.rs"]
+mod floods;
 #[path = "listener/stage.rs"]
 mod stage;
 
--- a/crates/transport/tests/listener/stage.rs
+++ b/crates/transport/tests/listener/stage.rs
@@ -10,7 +10,7 @@
 use actix_http::{HttpMessage as _, Request, Response, StatusCode};
 use bytes::Bytes;
 use futures_util::StreamExt as _;
-use ironmast_transport::bodies::Held;
+use ironmast_transport::bodies::{Held, Inflow};
 use ironmast_transport::clock::Clock;
 use ironmast_transport::connection::{ActiveRequest, ClientConnection, ClientLimits};
 use ironmast_transport::listener::{Listener, Service};
@@ -30,6 +30,9 @@
     max_body_bytes: 4 << 20,
 };
 
+/// A request of this path is answered without the test.
+pub const AT_ONCE: &str = "/at-once";
+
 /// Room in a socket's buffers.
 const LITTLE: u32 = 2_048;
 /// A play that does not end has failed.
@@ -50,8 +53,10 @@
 
 /// A request that waits for its answer.
 pub struct Asked {
-    /// Its body.
+    /// Its body, where it is held.
     pub body: String,
+    /// Its body, where it is on its way.
+    pub flow: Option<Rc<Inflow>>,
     reply: oneshot::Sender<Reply>,
 }
 
@@ -104,20 +109,23 @@
 
 impl Service for Scripted {
     async fn handle(&self, mut request: Request, connection: &Rc<ClientConnection>) -> Response<BoxBody> {
+        if request.path() == AT_ONCE {
+            return Response::with_body(StatusCode::OK, "at once").map_into_boxed_body();
+        }
         let length = request.headers().get("content-length");
         let length = length.and_then(|length| length.to_str().ok()?.parse().ok());
         let payload = request.take_payload();
         let read = request_body::read(payload, length, 64 * 1024, &self.held, connection, || {});
-        let body = match read.await {
-            Ok(RequestBody::Whole(body)) => String::from_utf8(body.to_vec()).expect("text"),
+        let (body, flow) = match read.await {
+            Ok(RequestBody::Whole(body)) => (String::from_utf8(body.to_vec()).expect("text"), None),
             Err(RequestBodyError::TooLong) => return plain(StatusCode::PAYLOAD_TOO_LARGE),
             Err(RequestBodyError::Incomplete) => return plain(StatusCode::BAD_REQUEST),
-            Ok(RequestBody::Flowing(_)) => panic!("longer than any test's"),
+            Ok(RequestBody::Flowing(flow)) => (String::new(), Some(flow)),
         };
         let active = connection.request();
-        active.set_whole(true);
+        active.set_whole(flow.is_none());
         let (reply, answer) = oneshot::channel();
-        self.asked.send(Asked { body, reply }).expect("the test goes on");
+        self.asked.send(Asked { body, flow, reply }).expect("the test goes on");
         match answer.await {
             Ok(Reply::Whole(text)) => Response::with_body(StatusCode::OK, text).map_into_boxed_body(),
             Ok(Reply::Stream(parts)) => stream(parts, active),
@@ -198,6 +206,14 @@
 pub struct Client(BufReader<TcpStream>);
 
 impl Client {
+    /// Writes all of it while the test goes on, and gives the connection back.
+    pub fn write_meanwhile(mut self, text: String) -> JoinHandle<Client> {
+        actix_rt::spawn(async move {
+            self.write(&text).await;
+            self
+        })
+    }
+
     pub async fn write(&mut self, text: &str) {
         self.0.get_mut().write_all(text.as_bytes()).await.expect("written");
     }
