stage: servers that fail an exchange at a chosen step, and a client that says how it ended

The existing stand-in serves whole answers in three moods; what it has of reading headers is used here.

--- /dev/null
+++ b/crates/stage/src/failing/client.rs
@@ -0,0 +1,183 @@
+//! A client that sends one request and says how its answer ended.
+
+use std::io::{self, Read as _, Write as _};
+use std::net::{SocketAddr, TcpStream};
+
+use super::{PATIENCE, body_of};
+
+/// How a request's body is sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestBody {
+    /// There is none.
+    None,
+    /// With its length.
+    Sized(usize),
+    /// In chunks of up to 1,000 bytes.
+    Chunked(usize),
+}
+
+/// A request.
+#[derive(Clone, Debug)]
+pub struct Ask<'a> {
+    /// Its method.
+    pub method: &'a str,
+    /// Its path and query.
+    pub target: &'a str,
+    /// The header that names it.
+    pub id_header: &'a str,
+    /// Its id.
+    pub id: &'a str,
+    /// Further headers, each with its line end.
+    pub headers: &'a str,
+    /// Its body.
+    pub body: RequestBody,
+}
+
+/// How an answer ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// It is whole.
+    Whole,
+    /// It broke off, which shows.
+    Broken,
+    /// None came.
+    None,
+}
+
+/// What a client got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Received {
+    /// The status; 0 where there was no head.
+    pub status: u16,
+    /// The head, in lower case.
+    pub head: String,
+    /// The body without its framing, as far as it came.
+    pub body: String,
+    /// How it ended.
+    pub ending: Ending,
+}
+
+impl Received {
+    /// The value of a header, its name in lower case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        crate::standin::header(&self.head, name)
+    }
+}
+
+/// Sends a request on a connection of its own.
+///
+/// # Errors
+/// The system's, where no connection comes up.
+pub fn ask(to: SocketAddr, request: &Ask<'_>) -> io::Result<Received> {
+    crate::loopback(to)?;
+    let mut stream = TcpStream::connect(to)?;
+    send(&mut stream, request)?;
+    Ok(receive(&mut stream, &mut Vec::new(), request.method == "HEAD"))
+}
+
+/// Sends a request. One that is answered before it is written whole is not written further.
+///
+/// # Errors
+/// The system's, where a time-out can't be set.
+pub fn send(stream: &mut TcpStream, request: &Ask<'_>) -> io::Result<()> {
+    stream.set_read_timeout(Some(PATIENCE))?;
+    stream.set_nodelay(true)?;
+    let Ask { method, target, id_header, id, headers, body } = request;
+    let framing = match body {
+        RequestBody::None => String::new(),
+        RequestBody::Sized(length) => format!("Content-Length: {length}\r\n"),
+        RequestBody::Chunked(_) => "Transfer-Encoding: chunked\r\n".into(),
+    };
+    let head = format!(
+        "{method} {target} HTTP/1.1\r\nHost: a.example\r\n{id_header}: {id}\r\n{headers}{framing}\r\n"
+    );
+    let mut bytes = head.into_bytes();
+    match body {
+        RequestBody::None => {}
+        RequestBody::Sized(length) => bytes.extend(body_of(id, *length)),
+        RequestBody::Chunked(length) => {
+            for chunk in body_of(id, *length).chunks(1_000) {
+                bytes.extend(format!("{:x}\r\n", chunk.len()).into_bytes());
+                bytes.extend_from_slice(chunk);
+                bytes.extend_from_slice(b"\r\n");
+            }
+            bytes.extend_from_slice(b"0\r\n\r\n");
+        }
+    }
+    // What comes back tells.
+    let _ = stream.write_all(&bytes);
+    Ok(())
+}
+
+/// Reads the final answer; `come` keeps what follows it.
+pub fn receive(stream: &mut TcpStream, come: &mut Vec<u8>, to_head: bool) -> Received {
+    let mut got = Received { status: 0, head: String::new(), body: String::new(), ending: Ending::None };
+    loop {
+        let Some(end) = find(stream, come, b"\r\n\r\n") else { return got };
+        got.head = String::from_utf8_lossy(&come.drain(..end).collect::<Vec<u8>>()).to_ascii_lowercase();
+        got.status = got.head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+        if got.status >= 200 {
+            break;
+        }
+    }
+    let (body, whole) = match to_head || matches!(got.status, 204 | 304) {
+        true => (Vec::new(), true),
+        false => read_body(stream, come, &got),
+    };
+    got.body = String::from_utf8_lossy(&body).into_owned();
+    got.ending = if whole { Ending::Whole } else { Ending::Broken };
+    got
+}
+
+fn read_body(stream: &mut TcpStream, come: &mut Vec<u8>, got: &Received) -> (Vec<u8>, bool) {
+    if got.header("transfer-encoding").is_some() {
+        return read_chunks(stream, come);
+    }
+    let length: usize = got.header("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
+    while come.len() < length {
+        if !more(stream, come) {
+            return (std::mem::take(come), false);
+        }
+    }
+    (come.drain(..length).collect(), true)
+}
+
+fn read_chunks(stream: &mut TcpStream, come: &mut Vec<u8>) -> (Vec<u8>, bool) {
+    let mut body = Vec::new();
+    loop {
+        let Some(end) = find(stream, come, b"\r\n") else { return (body, false) };
+        let line: Vec<u8> = come.drain(..end).collect();
+        let Ok(size) = usize::from_str_radix(String::from_utf8_lossy(&line).trim(), 16) else {
+            return (body, false);
+        };
+        while come.len() < size + 2 {
+            if !more(stream, come) {
+                return (body, false);
+            }
+        }
+        body.extend(come.drain(..size));
+        come.drain(..2);
+        if size == 0 {
+            return (body, true);
+        }
+    }
+}
+
+/// Where the bytes looked for end; none where the connection ends before.
+fn find(stream: &mut TcpStream, come: &mut Vec<u8>, wanted: &[u8]) -> Option<usize> {
+    loop {
+        if let Some(at) = come.windows(wanted.len()).position(|part| part == wanted) {
+            return Some(at + wanted.len());
+        }
+        if !more(stream, come) {
+            return None;
+        }
+    }
+}
+
+fn more(stream: &mut TcpStream, come: &mut Vec<u8>) -> bool {
+    let mut part = [0; 16 * 1024];
+    let bytes = stream.read(&mut part).unwrap_or(0);
+    come.extend_from_slice(&part[..bytes]);
+    bytes > 0
+}
--- a/crates/stage/src/lib.rs
+++ b/crates/stage/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`datagrams`]: a UDP relay between two proxies under the same schedule;
 //! - [`backlog`]: listeners to which connections come up late;
 //! - [`standin`]: pay servers with an execution record, and discovery;
+//! - [`failing`]: servers that fail an exchange at a chosen step, and a client that says how an answer ended;
 //! - [`process`]: proxies as processes, signalled by pid, measured from /proc;
 //! - [`load`]: open-loop clients, bounded, loopback only;
 //! - [`verdict`]: what clients saw against what pay servers ran; [`expect`]: what must hold of a run;
@@ -19,6 +20,7 @@
 pub mod backlog;
 pub mod datagrams;
 pub mod expect;
+pub mod failing;
 pub mod fault;
 pub mod load;
 pub mod process;
