--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -2,6 +2,8 @@
 //! heard of lately, and the operator's state. No I/O: whoever drives it passes the time and sends what it returns.
 #![forbid(unsafe_code)]
 
+use std::net::SocketAddr;
+
 use ironmast_schema::control::{ControlState, Entry, GateRecord, InstanceRecord, Key, Standing, Value};
 use ironmast_schema::registration::{Heartbeat, InstanceState};
 use rustc_hash::FxHashMap;
@@ -32,6 +34,8 @@
 struct Heard {
     at: Micros,
     sequence: u64,
+    /// When it last spoke to this coordinator itself.
+    here: Option<Micros>,
 }
 
 /// What an entry from elsewhere has led to.
@@ -45,6 +49,21 @@
     Outdated(Box<Entry>),
 }
 
+/// A gate that is known.
+#[derive(Debug, Clone, Copy)]
+pub struct Gate<'a> {
+    /// Where clients reach it.
+    pub frontend: SocketAddr,
+    /// The latest word about it.
+    pub record: &'a GateRecord,
+    /// When it was last heard of.
+    pub heard: Micros,
+    /// Whether any coordinator has heard it within the patience.
+    pub is_heard: bool,
+    /// Whether it has spoken to this coordinator itself within the patience.
+    pub is_heard_here: bool,
+}
+
 /// The catalog of one coordinator.
 #[derive(Debug)]
 pub struct Catalog {
@@ -164,6 +183,11 @@
         self.fresh.drain().collect()
     }
 
+    /// This coordinator has been without the others' word until now: nobody's silence before counts.
+    pub fn resume(&mut self, now: Micros) {
+        self.started = now;
+    }
+
     /// Finds who has fallen silent; returns what others must be told.
     pub fn expire(&mut self, now: Micros) -> Vec<Entry> {
         // Guards the list against emptying while this coordinator itself hears nobody.
@@ -171,18 +195,19 @@
             || now > self.last_heartbeat + self.patience.instance / 2;
         let mut out = Vec::new();
         for (key, entry) in &mut self.entries {
-            let unheard = Heard { at: self.started, sequence: 0 };
+            let unheard = Heard { at: self.started, sequence: 0, here: None };
             let heard = self.heard.get(key).copied().unwrap_or(unheard);
+            let silent_since = heard.at.max(self.started);
             match &mut entry.value {
                 Value::Instance(record) if record.standing == Standing::Present => {
-                    if deaf || now <= heard.at + self.patience.instance {
+                    if deaf || now <= silent_since + self.patience.instance {
                         continue;
                     }
                     record.standing = Standing::Silent;
                     entry.version = entry.version.max(version_of(heard.sequence)) + VERSIONS_TO_SILENCE;
                     out.push(entry.clone());
                 }
-                Value::Gate(record) if !record.gone && now > heard.at + self.patience.gate => {
+                Value::Gate(record) if !record.gone && now > silent_since + self.patience.gate => {
                     record.gone = true;
                     entry.version = entry.version.max(heard.sequence) + VERSIONS_TO_SILENCE;
                     out.push(entry.clone());
@@ -193,18 +218,27 @@
         out
     }
 
-    /// The gates that take new clients, with their records.
-    pub fn gates(&self) -> impl Iterator<Item = (std::net::SocketAddr, &GateRecord)> {
-        self.entries.iter().filter_map(|(key, entry)| match (key, &entry.value) {
-            (Key::Gate(address), Value::Gate(record)) if !record.gone && record.ready => {
-                Some((*address, record))
+    /// The gates that are known, those that have gone among them.
+    pub fn gates(&self, now: Micros) -> impl Iterator<Item = Gate<'_>> {
+        let patience = self.patience.gate;
+        self.entries.iter().filter_map(move |(key, entry)| match (key, &entry.value) {
+            (Key::Gate(frontend), Value::Gate(record)) => {
+                let heard = self.heard.get(key);
+                let is_recent = |at: Micros| now <= at + patience;
+                Some(Gate {
+                    frontend: *frontend,
+                    record,
+                    heard: heard.map_or(self.started, |heard| heard.at),
+                    is_heard: heard.is_some_and(|heard| is_recent(heard.at)),
+                    is_heard_here: heard.and_then(|heard| heard.here).is_some_and(is_recent),
+                })
             }
             _ => None,
         })
     }
 
     fn hear(&mut self, now: Micros, key: &Key, sequence: u64) {
-        note(&mut self.heard, now, key, sequence);
+        note(&mut self.heard, now, key, sequence).here = Some(now);
         self.fresh.insert(key.clone(), sequence);
     }
 
@@ -234,10 +268,11 @@
     sequence.saturating_mul(VERSIONS_PER_SEQUENCE).min(VERSION_GONE - VERSIONS_PER_SEQUENCE)
 }
 
-fn note(heard: &mut FxHashMap<Key, Heard>, now: Micros, key: &Key, sequence: u64) {
-    let last = heard.entry(key.clone()).or_insert(Heard { at: now, sequence });
+fn note<'a>(heard: &'a mut FxHashMap<Key, Heard>, now: Micros, key: &Key, sequence: u64) -> &'a mut Heard {
+    let last = heard.entry(key.clone()).or_insert(Heard { at: now, sequence, here: None });
     last.at = last.at.max(now);
     last.sequence = last.sequence.max(sequence);
+    last
 }
 
 /// Whether others who hold the first value must be told of the second.
