--- a/crates/coordinator/src/resolve.rs
+++ b/crates/coordinator/src/resolve.rs
@@ -7,7 +7,7 @@
 
 use ironmast_catalog::Gate;
 use ironmast_schema::configuration::Configuration;
-use ironmast_schema::control::{GatePresence, GateRecord};
+use ironmast_schema::control::GatePresence;
 use serde::{Deserialize, Serialize};
 
 use crate::state::Reply;
@@ -69,26 +69,48 @@
     configuration: Option<&Configuration>,
     query: &Query,
 ) -> Vec<SocketAddr> {
-    let select = |presence: GatePresence, place: &dyn Fn(&GateRecord) -> bool| {
-        let taken = gates.iter().filter(|gate| gate.record.presence() == presence && place(gate.record));
-        let mut addresses: Vec<SocketAddr> = taken.map(|gate| gate.frontend).collect();
-        addresses.sort_unstable();
-        addresses.truncate(ADDRESSES_MOST);
-        addresses
-    };
-    let in_zone = |gate: &GateRecord| gate.zone == query.zone;
-    let in_region = |gate: &GateRecord| gate.region == query.region;
-    let near = [select(GatePresence::Ready, &in_zone), select(GatePresence::Ready, &in_region)];
-    if let Some(near) = near.into_iter().find(|near| !near.is_empty()) {
+    let is_ready = |gate: &Gate<'_>| gate.is_heard && gate.record.presence() == GatePresence::Ready;
+    let near = nearest(gates, query, is_ready);
+    if !near.is_empty() {
         return near;
     }
     let homes = Homes::of(&query.name, configuration);
     let lost = was_lost(gates, &query.region);
-    let elsewhere = select(GatePresence::Ready, &|gate| lost || homes.admit(&gate.region));
-    match elsewhere.is_empty() {
-        true => select(GatePresence::Unready, &in_region),
-        false => elsewhere,
+    let elsewhere = select(gates, |gate| is_ready(gate) && (lost || homes.admit(&gate.record.region)));
+    if !elsewhere.is_empty() {
+        return elsewhere;
     }
+    select(gates, |gate| {
+        let unready = gate.is_heard && gate.record.presence() == GatePresence::Unready;
+        unready && gate.record.region == query.region
+    })
+}
+
+/// The addresses for a client at a coordinator that knows of no other coordinator's news: gates of the client's region
+/// that speak to this one.
+pub fn addresses_heard_here(gates: &[Gate<'_>], query: &Query) -> Vec<SocketAddr> {
+    nearest(gates, query, |gate| {
+        let ready = gate.is_heard_here && gate.record.presence() == GatePresence::Ready;
+        ready && gate.record.region == query.region
+    })
+}
+
+/// The usable gates of the client's zone; without any, those of its region.
+fn nearest(gates: &[Gate<'_>], query: &Query, is_usable: impl Fn(&Gate<'_>) -> bool) -> Vec<SocketAddr> {
+    let in_zone = select(gates, |gate| is_usable(gate) && gate.record.zone == query.zone);
+    match in_zone.is_empty() {
+        true => select(gates, |gate| is_usable(gate) && gate.record.region == query.region),
+        false => in_zone,
+    }
+}
+
+/// The first addresses, in order, of the gates that fit.
+fn select(gates: &[Gate<'_>], fits: impl Fn(&Gate<'_>) -> bool) -> Vec<SocketAddr> {
+    let mut addresses: Vec<SocketAddr> =
+        gates.iter().filter(|gate| fits(gate)).map(|gate| gate.frontend).collect();
+    addresses.sort_unstable();
+    addresses.truncate(ADDRESSES_MOST);
+    addresses
 }
 
 /// Whether a region has no gate left because the last of them has gone without a word.
--- a/crates/coordinator/src/resolve/tests.rs
+++ b/crates/coordinator/src/resolve/tests.rs
@@ -1,5 +1,7 @@
 //! Which gates a client is sent to.
 
+use ironmast_schema::control::GateRecord;
+
 use super::*;
 
 const ZONE: &str = "north-a";
@@ -45,7 +47,13 @@
     let address = |number: usize| SocketAddr::from(([10, 0, (number / 250) as u8, (number % 250) as u8], 80));
     let gates: Vec<Gate<'_>> = (0..)
         .zip(gates)
-        .map(|(number, record)| Gate { frontend: address(number), record, heard: number as u64 })
+        .map(|(number, record)| Gate {
+            frontend: address(number),
+            record,
+            heard: number as u64,
+            is_heard: true,
+            is_heard_here: false,
+        })
         .collect();
     let query = Query { name: "A.example".to_string(), region: "north".to_string(), zone: ZONE.to_string() };
     let found = addresses(&gates, configuration, &query);
@@ -127,3 +135,39 @@
 fn no_gate_is_no_answer() {
     assert_eq!(answer(&[], 2.0).status, 503);
 }
+
+#[test]
+fn without_contact_only_gates_of_the_region_that_speak_here_are_named() {
+    let records =
+        [ready("north-b"), ready("north-a"), ready("south-a"), unready("north-a"), ready("north-c")];
+    let address = |number: usize| SocketAddr::from(([10, 0, 0, number as u8], 80));
+    let heard_here = |speakers: &[usize]| {
+        let gates: Vec<Gate<'_>> = records
+            .iter()
+            .enumerate()
+            .map(|(number, record)| Gate {
+                frontend: address(number),
+                record,
+                heard: 0,
+                is_heard: true,
+                is_heard_here: speakers.contains(&number),
+            })
+            .collect();
+        let query = Query { name: String::new(), region: "north".to_string(), zone: ZONE.to_string() };
+        addresses_heard_here(&gates, &query)
+    };
+    assert_eq!(heard_here(&[0, 1, 2, 3]), [address(1)], "the client's zone first");
+    assert_eq!(heard_here(&[0, 2, 4]), [address(0), address(4)], "then its region");
+    assert_eq!(heard_here(&[2, 3]), [], "no other region, and none that is not ready");
+}
+
+/// A gate whose last word is old may be long gone.
+#[test]
+fn a_gate_that_nobody_has_heard_lately_is_not_named() {
+    let record = ready("north-a");
+    let frontend = SocketAddr::from(([10, 0, 0, 1], 80));
+    let gate = Gate { frontend, record: &record, heard: 0, is_heard: false, is_heard_here: false };
+    let query = Query { name: String::new(), region: "north".to_string(), zone: ZONE.to_string() };
+    assert_eq!(addresses(&[gate], None, &query), []);
+    assert_eq!(addresses(&[Gate { is_heard: true, ..gate }], None, &query), [frontend]);
+}
