--- a/crates/catalog/src/lib.rs
+++ b/crates/catalog/src/lib.rs
@@ -117,11 +117,10 @@
         changed.then_some(entry)
     }
 
-    /// Takes a server's word that it ends; returns what others must be told. One that only others know so far ends for
-    /// them too: its word is acknowledged.
+    /// Takes a server's word that it ends; returns what others must be told.
     pub fn leave(&mut self, now: Micros, id: &str) -> Option<Entry> {
         let key = Key::Instance(id.to_string());
-        let entry = self.entries.entry(key.clone()).or_insert_with(|| unheard(key.clone()));
+        let entry = self.entries.get_mut(&key)?;
         let Value::Instance(record) = &mut entry.value else { return None };
         if record.standing == Standing::Gone {
             return None;
@@ -264,23 +263,6 @@
     }
 }
 
-/// The entry of a server that has said nothing here.
-fn unheard(key: Key) -> Entry {
-    let heartbeat = Heartbeat {
-        backend: String::new(),
-        address: SocketAddr::from(([0, 0, 0, 0], 0)),
-        zone: String::new(),
-        generation: String::new(),
-        capacity: 0,
-        state: InstanceState::Draining,
-        warmup_left_ms: 0.0,
-        sequence: 0,
-        remaining_ms: None,
-    };
-    let value = Value::Instance(InstanceRecord { heartbeat, standing: Standing::Present });
-    Entry { key, version: 0, value }
-}
-
 /// The version of a heartbeat with this number; the end of an incarnation is above all of them.
 fn version_of(sequence: u64) -> u64 {
     sequence.saturating_mul(VERSIONS_PER_SEQUENCE).min(VERSION_GONE - VERSIONS_PER_SEQUENCE)
