register: an order keeps its answer, a late one is fenced off, members are lost by majority

An order taken, then 256 others, then sent again was refused by 412, and the same body on another base was acknowledged: the memory held 256 digests of bodies.

A member was dropped by what one node hadn't heard for 1.5 s: a link failing in one direction sufficed, and two of them changed the set 72 times in 20 s. Nodes now tell which members they haven't heard, at once when that changes; a member counts as lost once a majority of the members says so (`Guard::LostByMajority`, 0 changes with it). Time for which the own process stood still is no silence of others (`Guard::OwnPause`: without it two of three members that were frozen replaced the third). A replica whose write failed for good asks to be replaced.

Tests: orders.rs (races with restarts, freezes, cuts, replacements, and 1,000 further changes), second_loss.rs, the time to redundancy as a distribution that asks for the newest state on a majority of disks, orders in the exhaustive model. Announcing moved out of node.rs.

The encodings of the value and of announcements have changed.

--- a/crates/coordinator/src/value.rs
+++ b/crates/coordinator/src/value.rs
@@ -1,14 +1,14 @@
 //! The value that the register holds: the operator's state; and the changes that can be made to it, as pure
 //! functions.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::BTreeSet;
 
 use ironmast_register::Decision;
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_128;
 
-/// Configurations taken before that are remembered, so that one sent again is acknowledged again.
-const TAKEN_MOST: usize = 256;
+use history::{History, Order, Past};
+
+mod history;
 
 /// The operator's state.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -17,8 +17,8 @@
     pub configuration: Option<Document>,
     /// Zones that get nothing.
     pub evacuated: BTreeSet<String>,
-    /// Digests of the configurations taken, the latest last.
-    taken: VecDeque<u128>,
+    /// The configurations taken before, and those refused that could still fit.
+    history: History,
 }
 
 /// A configuration as the operator sent it.
@@ -66,28 +66,43 @@
         self.configuration.as_ref().map_or(0, |document| document.generation)
     }
 
-    /// Puts a configuration that builds on version `base` in force. One that was taken before, byte for byte, is
-    /// acknowledged again, whatever has come since.
+    /// Puts a configuration that builds on version `base` in force. One that was taken before, the same byte for
+    /// byte and on the same base, is acknowledged again, whatever has come since. One that is refused never comes
+    /// into force later. Where neither can be promised, there is no answer.
     pub fn configure(&self, document: &Document, base: u64) -> Decision<ControlValue> {
-        let digest = xxh3_128(&document.body);
-        if self.configuration.as_ref() == Some(document) || self.taken.contains(&digest) {
-            return Decision::Keep;
-        }
-        if base != self.generation() {
-            return Decision::Reject(Refusal::OtherVersion.to_string());
+        let order = Order::new(document, base);
+        match self.history.past(&order) {
+            Past::Taken => Decision::Keep,
+            Past::Refused => refuse(Refusal::OtherVersion),
+            Past::Forgotten => Decision::Unclear,
+            Past::Unknown if base == self.generation() => self.configure_next(document, &order),
+            Past::Unknown if base > self.generation() && order.is_consistent() => {
+                self.refuse_for_good(&order)
+            }
+            Past::Unknown => refuse(Refusal::OtherVersion),
         }
+    }
+
+    /// Takes an order that builds on the current version.
+    fn configure_next(&self, document: &Document, order: &Order) -> Decision<ControlValue> {
         if document.generation <= self.generation() {
-            return Decision::Reject(Refusal::OldGeneration.to_string());
+            return refuse(Refusal::OldGeneration);
         }
         let mut next = self.clone();
         next.configuration = Some(document.clone());
-        next.taken.push_back(digest);
-        if next.taken.len() > TAKEN_MOST {
-            next.taken.pop_front();
-        }
+        next.history.take(order);
         Decision::Write(next)
     }
 
+    /// Refuses an order that builds on a version which may yet come, and remembers that it did.
+    fn refuse_for_good(&self, order: &Order) -> Decision<ControlValue> {
+        let mut next = self.clone();
+        match next.history.refuse(order) {
+            true => Decision::Refuse { value: next, reason: Refusal::OtherVersion.to_string() },
+            false => Decision::Unclear,
+        }
+    }
+
     /// Empties a zone, or takes that back.
     pub fn evacuate(&self, zone: &str, out: bool) -> Decision<ControlValue> {
         if self.evacuated.contains(zone) == out {
@@ -103,5 +118,9 @@
     }
 }
 
+fn refuse(refusal: Refusal) -> Decision<ControlValue> {
+    Decision::Reject(refusal.to_string())
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/register/src/guard.rs
+++ b/crates/register/src/guard.rs
@@ -17,6 +17,13 @@
     JointChosenFirst,
     /// What isn't known as chosen is accepted anew before it is reported.
     ConfirmBeforeReport,
+    /// A change that alters nothing is answered only once the state is accepted anew, so that what was left
+    /// half-done before the answer never comes into force after it.
+    FenceBeforeAnswer,
+    /// A member counts as lost only once a majority of the members has not heard it.
+    LostByMajority,
+    /// Time for which the own process stood still is no silence of the others.
+    OwnPause,
 }
 
 /// Which guard a mutation test has removed; none outside test builds.
@@ -35,13 +42,13 @@
 
     /// Whether the guard is in force.
     #[cfg(feature = "mutations")]
-    pub(crate) fn keeps(self, guard: Guard) -> bool {
+    pub fn keeps(self, guard: Guard) -> bool {
         self.removed != Some(guard)
     }
 
     /// Whether the guard is in force: always.
     #[cfg(not(feature = "mutations"))]
-    pub(crate) fn keeps(self, _guard: Guard) -> bool {
+    pub fn keeps(self, _guard: Guard) -> bool {
         true
     }
 }
--- a/crates/register/src/message.rs
+++ b/crates/register/src/message.rs
@@ -121,8 +121,10 @@
     pub chosen: Option<Digest>,
     /// Zone of the machine.
     pub zone: String,
-    /// Whether the node is about to stop for good.
+    /// Whether the node gives its place up: it is about to stop for good, or can't vote any more.
     pub leaving: bool,
+    /// Members that the node has not heard for [`Settings::unreachable`](crate::Settings::unreachable).
+    pub silent: Vec<Identity>,
 }
 
 /// The content of a message.
--- a/crates/register/src/node.rs
+++ b/crates/register/src/node.rs
@@ -8,7 +8,7 @@
 use crate::acceptor::{Acceptor, Addressed, Record};
 use crate::ballot::{Ballot, Identity};
 use crate::learner::Learner;
-use crate::message::{Announcement, Answer, Body, Digest, Message, Reply, Request};
+use crate::message::{Answer, Body, Message, Reply, Request};
 use crate::proposer::{Context, Counters, Effect, Proposer};
 use crate::random::Random;
 use crate::replicas::Replica;
@@ -16,6 +16,7 @@
 use crate::state::{Proposal, State};
 use crate::steward::Steward;
 
+mod announce;
 mod background;
 mod event;
 
@@ -93,6 +94,7 @@
 
     /// Takes in an event at the time `now` of a steady clock, and adds what is to be done to `actions`.
     pub fn handle(&mut self, now: Duration, event: Event<V>, actions: &mut Vec<Action<V>>) {
+        self.notice_pause(now);
         match event {
             Event::Message(message) => self.receive(now, message, actions),
             Event::Persisted(token) => {
@@ -103,6 +105,8 @@
             Event::PersistFailed(token) => {
                 if self.acceptor.persist_failed(token) {
                     actions.push(Action::StorageFailed);
+                    // Without a vote it is of no use as a member.
+                    self.leave(actions);
                 }
             }
             Event::Submit { id, operation, deadline } => self.proposer.submit(Some(id), operation, deadline),
@@ -137,7 +141,7 @@
             }
             Body::Reply(reply) => self.take_reply(now, sender, address, reply, actions),
             Body::Announce(announcement) => {
-                self.steward.hear_of(sender, address, &announcement.zone, announcement.leaving);
+                self.steward.hear_of(sender, address, &announcement);
                 self.take_announcement(now, address, &announcement, actions);
             }
             Body::Fetch { known } => {
@@ -168,43 +172,6 @@
         self.carry_out(now, effects, actions);
     }
 
-    fn take_announcement(
-        &mut self,
-        now: Duration,
-        from: SocketAddr,
-        announcement: &Announcement,
-        actions: &mut Vec<Action<V>>,
-    ) {
-        let told = announcement.chosen;
-        let is_behind = told.map(|digest| digest.sequence) < self.learner.sequence();
-        if let Some(digest) = told {
-            self.take_digest(now, from, digest, actions);
-        }
-        if is_behind {
-            self.send(from, self.announcement(), actions);
-        }
-    }
-
-    fn take_digest(&mut self, now: Duration, from: SocketAddr, digest: Digest, actions: &mut Vec<Action<V>>) {
-        if self.learner.learn_ballot(digest.ballot, digest.sequence) {
-            return;
-        }
-        match self.acceptor.accepted().filter(|held| held.ballot == digest.ballot).cloned() {
-            Some(held) => self.learn(&held, actions),
-            None => self.fetch(now, from, digest.ballot, actions),
-        }
-    }
-
-    /// Asks for a chosen state, unless it is known or was asked for just now.
-    fn fetch(&mut self, now: Duration, from: SocketAddr, ballot: Ballot, actions: &mut Vec<Action<V>>) {
-        let is_known = self.learner.chosen().is_some_and(|chosen| chosen.ballot >= ballot);
-        if is_known || !self.background.may_fetch(now, ballot, self.settings.resend) {
-            return;
-        }
-        let known = self.learner.ballot();
-        self.send(from, Body::Fetch { known }, actions);
-    }
-
     fn learn(&mut self, proposal: &Proposal<V>, actions: &mut Vec<Action<V>>) {
         if self.learner.learn(proposal).is_some() {
             actions.push(Action::Learned(Arc::clone(&proposal.state)));
@@ -279,27 +246,6 @@
         self.carry_out(now, effects, actions);
     }
 
-    fn announcement(&self) -> Body<V> {
-        let digest =
-            |proposal: &Proposal<V>| Digest { ballot: proposal.ballot, sequence: proposal.state.sequence };
-        Body::Announce(Announcement {
-            chosen: self.learner.chosen().map(digest),
-            zone: self.place.zone.clone(),
-            leaving: self.leaving,
-        })
-    }
-
-    /// Tells all coordinators known what is chosen here.
-    fn announce(&self, actions: &mut Vec<Action<V>>) {
-        let members = self.chosen().into_iter().flat_map(|state| state.members.replicas());
-        let mut addresses = self.peers.clone();
-        addresses.extend(members.map(|replica| replica.address));
-        addresses.remove(&self.place.address);
-        for address in addresses {
-            self.send(address, self.announcement(), actions);
-        }
-    }
-
     fn send(&self, to: SocketAddr, body: Body<V>, actions: &mut Vec<Action<V>>) {
         let message = Message { sender: self.identity(), address: self.place.address, body };
         actions.push(Action::Send { to, message });
--- a/crates/register/src/node/background.rs
+++ b/crates/register/src/node/background.rs
@@ -3,12 +3,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::ballot::Ballot;
+use crate::ballot::{Ballot, Identity};
+use crate::guard::Guard;
 use crate::node::{Action, Node};
 use crate::operation::Operation;
 
 /// How often it is asked whether a replica change is due.
 const STEWARD_INTERVAL: Duration = Duration::from_millis(100);
+/// A node acts each [`STEWARD_INTERVAL`] at least: if it didn't for this long, its process stood still.
+const PAUSE: Duration = Duration::from_millis(300);
 
 /// Times of the unasked work.
 #[derive(Clone, Debug, Default)]
@@ -19,6 +22,10 @@
     scrub_at: Option<Duration>,
     joint_since: Option<Duration>,
     fetching: Option<(Ballot, Duration)>,
+    /// When the node acted last.
+    acted_at: Duration,
+    /// Members that are not heard, as the others were told.
+    pub(super) silent: Vec<Identity>,
 }
 
 impl Background {
@@ -39,6 +46,16 @@
 }
 
 impl<V: Clone> Node<V> {
+    /// Time for which this process stood still says nothing of the others.
+    pub(super) fn notice_pause(&mut self, now: Duration) {
+        let pause = now.saturating_sub(self.background.acted_at);
+        let is_paused = self.background.started && pause >= PAUSE;
+        if is_paused && self.settings.guards.keeps(Guard::OwnPause) {
+            self.steward.stood_still(pause);
+        }
+        self.background.acted_at = now;
+    }
+
     pub(super) fn tend(&mut self, now: Duration, actions: &mut Vec<Action<V>>) {
         if !self.background.started {
             self.background.started = true;
@@ -52,11 +69,22 @@
         }
         if now >= self.background.steward_at {
             self.background.steward_at = now + STEWARD_INTERVAL;
+            self.report_silent(now, actions);
             self.change_replicas(now);
         }
         self.scrub(now);
     }
 
+    /// Tells the others at once that a member has fallen silent, or is heard again.
+    fn report_silent(&mut self, now: Duration, actions: &mut Vec<Action<V>>) {
+        let members = self.learner.chosen().map(|proposal| &proposal.state.members);
+        let silent = members.map(|members| self.steward.silent(now, members)).unwrap_or_default();
+        if silent != self.background.silent {
+            self.background.silent = silent;
+            self.announce(actions);
+        }
+    }
+
     /// Proposes the replica change that is due, if any.
     fn change_replicas(&mut self, now: Duration) {
         let Some(state) = self.learner.chosen().map(|proposal| Arc::clone(&proposal.state)) else {
--- a/crates/register/src/operation.rs
+++ b/crates/register/src/operation.rs
@@ -23,6 +23,15 @@
     Keep,
     /// The change doesn't fit the value.
     Reject(Reason),
+    /// The change doesn't fit the value, and the value that follows remembers that.
+    Refuse {
+        /// The value that follows.
+        value: V,
+        /// Why the change doesn't fit.
+        reason: Reason,
+    },
+    /// Whether the change was made before can't be told any more.
+    Unclear,
 }
 
 /// A change as a pure function of the value. It may be applied several times to different values, and must
@@ -156,7 +165,8 @@
     },
     /// The deadline passed before a first attempt: the change is not and won't be decided.
     Expired,
-    /// The deadline passed, or the history is forgotten: the change may have been decided or may yet be.
+    /// The deadline passed, or the history is forgotten, or the change itself can't tell: it may have been decided
+    /// or may yet be.
     Unknown,
 }
 
--- a/crates/register/src/proposer.rs
+++ b/crates/register/src/proposer.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use crate::ballot::{Ballot, Identity};
+use crate::guard::Guard;
 use crate::message::{Answer, Reply, Request, RoundId};
 use crate::operation::{Operation, OperationId, Outcome, Pending};
 use crate::proposer::batch::Batch;
@@ -312,7 +313,8 @@
         let ballot = active.round.ballot;
         let (batch, state) = Batch::assemble(self.queue.drain(..), found, ballot, self.settings.guards);
         let unchanged = state.sequence == found.proposal.state.sequence;
-        if unchanged && found.confirmed {
+        let is_fenced = self.settings.guards.keeps(Guard::FenceBeforeAnswer) && batch.answers_unchanged();
+        if unchanged && found.confirmed && !is_fenced {
             effects.push(Effect::Chosen { proposal: found.proposal.clone(), announce: false });
             self.settle(batch, active.horizon, &found.proposal.state, effects);
             self.finish_round();
--- a/crates/register/src/proposer/batch.rs
+++ b/crates/register/src/proposer/batch.rs
@@ -72,6 +72,15 @@
         .collect()
     }
 
+    /// Whether a change gets its answer from the state as it was found.
+    pub(super) fn answers_unchanged(&self) -> bool {
+        let is_answer = |(pending, verdict): &(Pending<V>, Verdict)| {
+            matches!(pending.operation, Operation::Change(_))
+                && matches!(verdict, Verdict::Kept | Verdict::Rejected(_))
+        };
+        self.0.iter().any(is_answer)
+    }
+
     pub(super) fn deadlines(&self) -> impl Iterator<Item = Duration> {
         self.0.iter().map(|(pending, _)| pending.deadline)
     }
@@ -162,15 +171,25 @@
     fn decided(&mut self, decision: Decision<V>) -> Verdict {
         match decision {
             Decision::Write(value) => {
-                self.value = Arc::new(value);
-                self.changed = true;
+                self.write(value);
                 Verdict::Written
             }
             Decision::Keep => Verdict::Kept,
             Decision::Reject(reason) => Verdict::Rejected(reason),
+            // Not an attempt of the change: if this isn't chosen, the change is applied anew.
+            Decision::Refuse { value, reason } => {
+                self.write(value);
+                Verdict::Rejected(reason)
+            }
+            Decision::Unclear => Verdict::Unknown,
         }
     }
 
+    fn write(&mut self, value: V) {
+        self.value = Arc::new(value);
+        self.changed = true;
+    }
+
     fn finish(self, found: &Arc<State<V>>, ballot: Ballot) -> Arc<State<V>> {
         if !self.changed {
             return Arc::clone(found);
--- a/crates/register/src/steward.rs
+++ b/crates/register/src/steward.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use crate::ballot::Identity;
+use crate::guard::{Guard, Guards};
+use crate::message::Announcement;
 use crate::operation::ReplicaChange;
 use crate::replicas::{Membership, Replica, ReplicaSet};
 use crate::settings::Settings;
@@ -21,6 +23,8 @@
     zone: String,
     last_heard: Duration,
     leaving: bool,
+    /// Members that it has not heard.
+    silent: Vec<Identity>,
     /// Identities that this address had before; late messages may still name them.
     retired: BTreeSet<Identity>,
 }
@@ -38,6 +42,7 @@
     leaving: bool,
     wish: Option<(ReplicaChange, Duration)>,
     paused_until: Duration,
+    guards: Guards,
 }
 
 impl Steward {
@@ -54,6 +59,7 @@
             leaving: false,
             wish: None,
             paused_until: Duration::ZERO,
+            guards: settings.guards,
         }
     }
 
@@ -74,6 +80,7 @@
             zone: String::new(),
             last_heard: now,
             leaving: false,
+            silent: Vec::new(),
             retired: BTreeSet::new(),
         });
         if entry.retired.contains(&identity) {
@@ -83,18 +90,34 @@
             entry.retired.insert(entry.identity);
             entry.identity = identity;
             entry.leaving = false;
+            entry.silent.clear();
         }
         entry.last_heard = now;
     }
 
     /// A coordinator tells of itself.
-    pub fn hear_of(&mut self, identity: Identity, address: SocketAddr, zone: &str, leaving: bool) {
+    pub fn hear_of(&mut self, identity: Identity, address: SocketAddr, told: &Announcement) {
         if let Some(entry) = self.entries.get_mut(&address).filter(|entry| entry.identity == identity) {
-            zone.clone_into(&mut entry.zone);
-            entry.leaving = leaving;
+            told.zone.clone_into(&mut entry.zone);
+            entry.leaving = told.leaving;
+            told.silent.clone_into(&mut entry.silent);
         }
     }
 
+    /// The own process stood still for that time, in which the others could not be heard.
+    pub fn stood_still(&mut self, pause: Duration) {
+        self.started += pause;
+        for entry in self.entries.values_mut() {
+            entry.last_heard += pause;
+        }
+    }
+
+    /// The members that this node has not heard for a while.
+    pub fn silent(&self, now: Duration, members: &Membership) -> Vec<Identity> {
+        let identities = members.replicas().map(|replica| replica.identity);
+        identities.filter(|&identity| !self.is_heard(now, members, identity)).collect()
+    }
+
     /// The change to be proposed now, with the replica set that it changes. One at a time; after each a pause.
     pub fn due(&mut self, now: Duration, members: &Membership) -> Option<(ReplicaSet, ReplicaChange)> {
         let change = self.wished(now, members);
@@ -119,8 +142,32 @@
         if members.is_joint() {
             return None;
         }
+        let set = &members.current;
+        let coordinators = self.coordinators(now, set);
+        let missed = self.missed(now, members);
+        Plan { set, coordinators: &coordinators, missed: &missed, target: self.target }.change()
+    }
+
+    /// Members that a majority of the members has not heard. What a single node doesn't hear may be well, behind a
+    /// link that fails in one direction.
+    fn missed(&self, now: Duration, members: &Membership) -> BTreeSet<Identity> {
+        let set = &members.current;
+        let told = self.entries.values().filter(|entry| set.contains(entry.identity));
+        let live = told.filter(|entry| now < entry.last_heard + self.unreachable);
+        let mut reports: Vec<Vec<Identity>> = live.map(|entry| entry.silent.clone()).collect();
+        let own = self.silent(now, members);
+        if set.contains(self.own.identity) {
+            reports.push(own.clone());
+        }
+        let needed = if self.guards.keeps(Guard::LostByMajority) { set.majority() } else { 0 };
+        let is_missed =
+            |member: &Identity| reports.iter().filter(|report| report.contains(member)).count() >= needed;
+        own.into_iter().filter(is_missed).collect()
+    }
+
+    fn is_heard(&self, now: Duration, members: &Membership, identity: Identity) -> bool {
         let coordinators = self.coordinators(now, &members.current);
-        Plan { set: &members.current, coordinators: &coordinators, target: self.target }.change()
+        coordinators.iter().any(|known| known.is(identity) && known.is_live)
     }
 
     /// What is heard at each address, and the members that were never heard.
--- a/crates/register/src/steward/plan.rs
+++ b/crates/register/src/steward/plan.rs
@@ -26,6 +26,8 @@
 pub(super) struct Plan<'a> {
     pub(super) set: &'a ReplicaSet,
     pub(super) coordinators: &'a [Coordinator],
+    /// Members that are to be given up for lost.
+    pub(super) missed: &'a BTreeSet<Identity>,
     /// Number of replicas aimed at.
     pub(super) target: usize,
 }
@@ -85,10 +87,10 @@
         self.lost().map(|replica| ReplicaChange::Remove(replica.identity))
     }
 
-    /// A member that isn't live, or else one that leaves.
+    /// A member that is given up for lost, or else one that leaves.
     fn lost(&self) -> Option<&Replica> {
         let replicas = self.set.replicas();
-        let dead = replicas.iter().find(|replica| !self.is_live(replica.identity));
+        let dead = replicas.iter().find(|replica| self.missed.contains(&replica.identity));
         let leaving = replicas.iter().find(|replica| {
             self.coordinators.iter().any(|known| known.is(replica.identity) && known.leaving)
         });
--- a/crates/register/src/steward/tests.rs
+++ b/crates/register/src/steward/tests.rs
@@ -19,13 +19,23 @@
     Membership::single(ReplicaSet::new(numbers.iter().map(|&number| replica(number, ""))))
 }
 
+/// What a coordinator tells of itself; it has heard neither replica 3 nor replica 4.
+fn told(zone: &str) -> Announcement {
+    Announcement {
+        chosen: None,
+        zone: zone.to_owned(),
+        leaving: false,
+        silent: vec![Identity(3), Identity(4)],
+    }
+}
+
 /// The steward of replica 1, which has heard those others just now.
 fn steward(heard: &[(u64, &str)]) -> Steward {
     let mut steward = Steward::new(replica(1, "a"), &Settings::default());
     for &(number, zone) in heard {
         let other = replica(number, zone);
         steward.hear(NOW, other.identity, other.address);
-        steward.hear_of(other.identity, other.address, zone, false);
+        steward.hear_of(other.identity, other.address, &told(zone));
     }
     steward
 }
@@ -61,7 +71,8 @@
 fn one_that_leaves_is_swapped() {
     let mut steward = steward(&[(2, "b"), (3, "c"), (4, "c")]);
     let leaver = replica(3, "c");
-    steward.hear_of(leaver.identity, leaver.address, "c", true);
+    let leaving = Announcement { leaving: true, silent: Vec::new(), ..told("c") };
+    steward.hear_of(leaver.identity, leaver.address, &leaving);
     assert_matches!(
         due(&mut steward, &members(&[1, 2, 3])),
         Some(ReplicaChange::Swap { leaves: Identity(3), .. })
@@ -100,9 +111,29 @@
     steward.own = replica(9, "a");
     let one = replica(1, "a");
     steward.hear(NOW, one.identity, one.address);
+    steward.hear_of(one.identity, one.address, &told("a"));
     let set = members(&[1, 2, 9, 3]);
     assert_eq!(steward.due(NOW, &set), None);
     let later = NOW + Settings::default().steward_stagger * 2;
     assert!(steward.due(later, &set).is_some());
     assert_eq!(steward.due(later, &set), None);
 }
+
+#[test]
+fn a_member_that_others_hear_stays() {
+    let mut steward = steward(&[(2, "b"), (4, "c")]);
+    let two = replica(2, "b");
+    let well = Announcement { silent: Vec::new(), ..told("b") };
+    steward.hear_of(two.identity, two.address, &well);
+    assert_eq!(due(&mut steward, &members(&[1, 2, 3])), None);
+    steward.hear_of(two.identity, two.address, &told("b"));
+    assert_matches!(due(&mut steward, &members(&[1, 2, 3])), Some(ReplicaChange::Swap { .. }));
+}
+
+#[test]
+fn time_in_which_the_own_process_stood_still_is_no_silence() {
+    let mut steward = steward(&[(2, "b"), (3, "c"), (4, "a")]);
+    let pause = Duration::from_secs(20);
+    steward.stood_still(pause);
+    assert_eq!(steward.silent(NOW + pause, &members(&[1, 2, 3])), []);
+}
--- a/crates/register/tests/support/mod.rs
+++ b/crates/register/tests/support/mod.rs
@@ -4,5 +4,6 @@
 pub mod checks;
 pub mod day;
 pub mod random;
+pub mod redundancy;
 pub mod value;
 pub mod world;
--- /dev/null
+++ b/crates/register/tests/support/redundancy.rs
@@ -0,0 +1,86 @@
+//! When a simulated deployment bears the next loss.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ironmast_register::{Node, Settings, State};
+
+use super::value::{Change, Value};
+use super::world::World;
+
+/// A new disk or machine must hold what it takes to bear the next loss within this time.
+pub const SYNC_TIME: Duration = Duration::from_secs(4);
+const STEP: Duration = Duration::from_millis(5);
+
+/// A deployment that has taken a change and is calm.
+pub fn settled(seed: u64, members: usize, spares: usize) -> World {
+    let mut world = World::new(seed, members, spares, Settings::bearing(members / 2));
+    world.run(Duration::from_millis(500));
+    world.submit(0, Some(Change::Mark { mark: 1 }), SYNC_TIME);
+    world.run(Duration::from_secs(2));
+    world
+}
+
+fn node(world: &World, host: usize) -> Option<&Node<Value>> {
+    world.hosts[host].node.as_ref()
+}
+
+/// Whether the host is a member by what it knows itself.
+pub fn is_member(world: &World, host: usize) -> bool {
+    node(world, host).is_some_and(Node::is_member)
+}
+
+/// The newest state known as chosen anywhere.
+pub fn newest(world: &World) -> Option<Arc<State<Value>>> {
+    let known = world.up().filter_map(|host| node(world, host)?.chosen());
+    known.max_by_key(|state| state.sequence).cloned()
+}
+
+/// Whether there is a single set of that many replicas, all of which run and know it, and a majority of which
+/// holds the newest state on its disk.
+pub fn is_redundant(world: &World, size: usize) -> bool {
+    let Some(state) = newest(world) else {
+        return false;
+    };
+    let members: Vec<usize> = world
+        .up()
+        .filter(|&host| node(world, host).is_some_and(|node| state.members.contains(node.identity())))
+        .collect();
+    let knows = |&host: &usize| {
+        let chosen = node(world, host).and_then(Node::chosen);
+        chosen.is_some_and(|known| known.members == state.members)
+    };
+    let holds = |host: &&usize| {
+        let accepted = world.hosts[**host].disk.as_ref().and_then(|record| record.accepted.as_ref());
+        accepted.is_some_and(|held| held.state.sequence >= state.sequence)
+    };
+    !state.members.is_joint()
+        && state.members.current.len() == size
+        && members.len() == size
+        && members.iter().all(knows)
+        && members.iter().filter(holds).count() >= state.members.current.majority()
+}
+
+/// Time until the deployment is redundant.
+///
+/// # Panics
+/// It takes longer than [`SYNC_TIME`].
+pub fn time_to_redundancy(world: &mut World, size: usize) -> Duration {
+    let start = world.now;
+    while !is_redundant(world, size) {
+        world.run(STEP);
+        assert!(
+            world.now - start < SYNC_TIME,
+            "not redundant in time: {:?}",
+            newest(world).map(|state| state.members.clone())
+        );
+    }
+    world.now - start
+}
+
+/// Every host that runs takes changes and reads, and nothing is broken.
+pub fn assert_well(world: &mut World, case: &str) {
+    world.expect_progress(SYNC_TIME);
+    world.checks.finish();
+    assert_eq!(world.checks.violations, [], "{case}");
+}
