--- a/crates/register/src/node/announce.rs
+++ b/crates/register/src/node/announce.rs
@@ -65,11 +65,7 @@
 
     /// Tells all coordinators known what is chosen here.
     pub(super) fn announce(&self, actions: &mut Vec<Action<V>>) {
-        let members = self.chosen().into_iter().flat_map(|state| state.members.replicas());
-        let mut addresses = self.peers.clone();
-        addresses.extend(members.map(|replica| replica.address));
-        addresses.remove(&self.place.address);
-        for address in addresses {
+        for address in self.others() {
             self.send(address, self.announcement(), actions);
         }
     }
