register: an initial member on an empty disk asks the others before it votes

With `bootstrap: true` still in its settings, a replica whose log was damaged or whose disk was lost took the initial identity again, which follows from its address alone, with an empty record: it voted under a name that had promised.

Announcements tell what a node's disk may have taken part in. An initial member on an empty disk says nothing as an acceptor and proposes nothing until all other initial members are heard to have voted for nothing, or, after 3 s, until a majority with itself is heard whose disks were all empty; one that has voted, or knows more, makes it draw a new identity. Not protected: the loss of a majority of the disks. A damaged log is set aside, not erased, and a folder that holds one never begins under the initial identity.

A record that was read but can't be written again (a full disk at the start) no longer ends the process: the acceptor is mute until it is durable. The coordinator so goes on to serve what needs no vote.

Event::PersistFailed, Action::StorageFailed and Acceptor::persist_failed are gone: no program told of a failed write; it is written again, whole, to another file. The simulation now does as the program does (its test of the dead code is replaced by one that no vote is given and nothing else written until the write is durable).

--- a/crates/coordinator/src/disk.rs
+++ b/crates/coordinator/src/disk.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-use eyre::{Result, WrapErr as _, bail};
+use eyre::{Result, WrapErr as _};
 use ironmast_register::{PersistToken, Record};
 use ironmast_storage::{
     Completion, Disk, Log, LogSettings, OpenError, RealDisk, Recovered, Supersedes, Writer,
@@ -30,6 +30,20 @@
     }
 }
 
+/// What the folder holds at the start.
+#[derive(Debug)]
+pub enum Found {
+    /// No record.
+    Nothing,
+    /// A record that is durable.
+    Durable(Record<ControlValue>),
+    /// A record that could be read but not written again (the disk is full, say), and may stand in the page cache only:
+    /// no vote may rest on it before it is durable.
+    Unconfirmed(Record<ControlValue>),
+    /// A damaged record, now or before: the replica can't go on as the one that it was.
+    Damage,
+}
+
 /// Told when a record is durable, or that it isn't.
 pub type Persisted = Completion<PersistToken>;
 
@@ -39,8 +53,8 @@
 }
 
 impl Journal {
-    /// Opens the log in a folder; returns the record found, if there is one. Damage is treated like a lost disk:
-    /// the replica begins anew under another identity.
+    /// Opens the log in a folder and tells what was found. Damage is treated like a lost disk, but the damaged file is
+    /// kept under another name.
     ///
     /// # Errors
     /// The file and the step that failed.
@@ -48,26 +62,38 @@
         folder: &Path,
         disk_mb: u64,
         log: &Logger,
-    ) -> Result<(Self, Option<Record<ControlValue>>, mpsc::UnboundedReceiver<Persisted>)> {
+    ) -> Result<(Self, Found, mpsc::UnboundedReceiver<Persisted>)> {
         let disk: Arc<dyn Disk> =
             Arc::new(RealDisk::open(folder).wrap_err_with(|| format!("opening {}", folder.display()))?);
         let megabytes = if disk_mb == 0 { DISK_MB } else { disk_mb };
         let settings = LogSettings::new(LOG, megabytes << 20).wrap_err("sizing the log of the register")?;
-        let (file, found) = match Log::<Durable>::open(Arc::clone(&disk), settings.clone()) {
+        let open = || Log::<Durable>::open(Arc::clone(&disk), settings.clone());
+        let (file, recovered) = match open() {
             Err(OpenError::Corrupted { file, offset, reason }) => {
+                let kept = Log::<Durable>::set_aside(disk.as_ref(), &settings)
+                    .wrap_err_with(|| format!("setting the damaged {file} aside"))?;
                 warn!(log, "the register's log is damaged and begun anew";
-                    "file" => file, "offset" => offset, "reason" => %reason);
-                Log::<Durable>::erase(disk.as_ref(), &settings).wrap_err("erasing a damaged log")?;
-                Log::<Durable>::open(disk, settings).wrap_err("opening the log of the register")?
+                    "file" => file, "offset" => offset, "reason" => %reason,
+                    "kept_as" => kept.map(|kept| folder.join(kept).display().to_string()));
+                let (file, _) = open().wrap_err("opening the log of the register anew")?;
+                (file, None)
+            }
+            opened => {
+                let (file, recovered) = opened.wrap_err("opening the log of the register")?;
+                (file, Some(recovered))
             }
-            opened => opened.wrap_err("opening the log of the register")?,
         };
-        let record = match found {
-            Recovered::Empty => None,
-            Recovered::Found { record, durable: true, .. } => Some(record.0),
-            // What was read may stand in the page cache only: no vote may rest on it.
-            Recovered::Found { .. } => {
-                bail!("the register's record can't be made durable: {:?}", file.state())
+        let was_damaged = !Log::<Durable>::files_set_aside(disk.as_ref(), &settings)
+            .wrap_err("looking for damaged logs")?
+            .is_empty();
+        let found = match recovered {
+            None => Found::Damage,
+            Some(Recovered::Empty) if was_damaged => Found::Damage,
+            Some(Recovered::Empty) => Found::Nothing,
+            Some(Recovered::Found { record, durable: true, .. }) => Found::Durable(record.0),
+            Some(Recovered::Found { record, .. }) => {
+                warn!(log, "the register's record can't be made durable yet"; "state" => ?file.state());
+                Found::Unconfirmed(record.0)
             }
         };
         let (to, completions) = mpsc::unbounded_channel();
@@ -75,7 +101,7 @@
         let complete = move |completion| drop(to.send(completion));
         let writer =
             Writer::spawn(file, move || clock.elapsed(), complete).wrap_err("starting the log's thread")?;
-        Ok((Journal { writer }, record, completions))
+        Ok((Journal { writer }, found, completions))
     }
 
     /// Writes a record; it is told when that is durable.
--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -17,7 +17,7 @@
 use slog::{Logger, warn};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::disk::{Journal, Persisted};
+use crate::disk::{Found, Journal, Persisted};
 use crate::state::Reply;
 use crate::value::{ControlValue, Refusal};
 
@@ -70,14 +70,15 @@
         let folder = settings.data_directory.as_deref();
         let folder: &Path =
             folder.ok_or_else(|| eyre!("data_directory is missing: a coordinator keeps files"))?;
-        let (journal, record, persisted) =
+        let (journal, found, persisted) =
             Journal::open(folder, settings.limits.disk_mb, &log).wrap_err("reading the register's record")?;
-        let origin = match record {
-            Some(record) => Origin::Disk(record),
-            None if settings.bootstrap => {
+        let origin = match found {
+            Found::Durable(record) => Origin::Disk(record),
+            Found::Unconfirmed(record) => Origin::Unconfirmed(record),
+            Found::Nothing if settings.bootstrap => {
                 Origin::Bootstrap { members: settings.seed_coordinators(), value: ControlValue::default() }
             }
-            None => Origin::Empty { identity: Identity(rand::random()) },
+            Found::Nothing | Found::Damage => Origin::Empty { identity: Identity(rand::random()) },
         };
         let place = Place { address: own, zone: settings.zone.clone() };
         let bearing = ironmast_register::Settings::bearing(settings.fault_tolerance.hosts_lost);
@@ -164,7 +165,7 @@
     }
 
     /// A write has ended. One that failed is written once more, whole, to a new file: until that is durable the
-    /// replica gives no vote.
+    /// replica gives no vote. [`ironmast_storage`] tells why that is safe after a failed sync.
     pub fn persisted(&mut self, completion: Persisted) -> Vec<Effect> {
         if self.write.as_ref().is_none_or(|(token, _)| *token != completion.token) {
             return Vec::new();
@@ -203,7 +204,11 @@
                     let _ = to.send(reply(kind, outcome));
                 }
             }
-            Action::StorageFailed => warn!(self.log, "this replica gives no vote any more"),
+            Action::DiskWasLost => warn!(
+                self.log,
+                "the settings say that the system starts for the first time, but \
+                other coordinators know more: this replica begins anew under another identity"
+            ),
             Action::Timer(at) => self.timer = Some(at),
         }
         None
--- a/crates/register/src/acceptor.rs
+++ b/crates/register/src/acceptor.rs
@@ -13,7 +13,7 @@
 #[cfg(test)]
 mod tests;
 
-/// Number of a write; given back once the write is durable or has failed.
+/// Number of a write; given back once the write is durable.
 pub type PersistToken = u64;
 
 /// What a replica keeps on its disk.
@@ -77,7 +77,8 @@
     waiting: Vec<Addressed<V>>,
     covered: Vec<Addressed<V>>,
     last_token: PersistToken,
-    failed: bool,
+    /// Whether the first record isn't durable yet: until then nothing is answered.
+    mute: bool,
     guards: Guards,
 }
 
@@ -92,16 +93,18 @@
             waiting: Vec::new(),
             covered: Vec::new(),
             last_token: 0,
-            failed: false,
+            mute: false,
             guards,
         }
     }
 
-    /// An acceptor whose first record must become durable before anything is said.
+    /// An acceptor whose first record must become durable before anything is said: a new one, or one that was read
+    /// and may stand in the page cache only.
     pub fn fresh(record: Record<V>, guards: Guards) -> Self {
         let mut acceptor = Self::recovered(Record::empty(record.identity), guards);
         acceptor.record = record;
         acceptor.dirty = true;
+        acceptor.mute = guards.keeps(Guard::PersistBeforeReply);
         acceptor
     }
 
@@ -130,12 +133,18 @@
 
     /// Highest ballot counter that earlier lives may have used.
     pub fn used(&self) -> u64 {
-        self.durable.reserved
+        self.record.reserved
     }
 
-    /// Whether a write has failed; the acceptor then gives no vote until it is recovered from its disk.
-    pub fn has_failed(&self) -> bool {
-        self.failed
+    /// Whether the replica holds no state at all, durable or not.
+    pub fn is_blank(&self) -> bool {
+        self.record.accepted.is_none()
+    }
+
+    /// Whether the replica has promised, accepted or proposed anything beyond the initial state.
+    pub fn has_voted(&self) -> bool {
+        let accepted = self.record.accepted.as_ref().map_or(Ballot::ZERO, |proposal| proposal.ballot);
+        self.record.promised.max(accepted) > Ballot::ZERO || self.record.reserved > 0
     }
 
     /// Asks for counters up to that one; they can be used once the record is durable.
@@ -153,7 +162,7 @@
         request: Request<V>,
         chosen: Option<&Proposal<V>>,
     ) -> Option<Addressed<V>> {
-        if self.failed {
+        if self.mute {
             return None;
         }
         let round = request.round;
@@ -173,7 +182,7 @@
 
     /// The next write, if one is due; at most one is under way.
     pub fn next_write(&mut self) -> Option<Write<V>> {
-        if self.failed || self.writing.is_some() {
+        if self.writing.is_some() {
             return None;
         }
         if !self.dirty && self.waiting.is_empty() {
@@ -197,23 +206,13 @@
         match self.writing.take_if(|write| write.token == token) {
             Some(write) => {
                 self.durable = write.record;
+                self.mute = false;
                 std::mem::take(&mut self.covered)
             }
             None => Vec::new(),
         }
     }
 
-    /// A write has failed. What reached the disk is unknown, so no vote is given any more.
-    pub fn persist_failed(&mut self, token: PersistToken) -> bool {
-        if self.writing.take_if(|write| write.token == token).is_none() {
-            return false;
-        }
-        self.failed = true;
-        self.covered.clear();
-        self.waiting.clear();
-        true
-    }
-
     /// The answer, and whether it may be sent before the next write.
     fn answer(&mut self, request: Request<V>, chosen: Option<&Proposal<V>>) -> (Answer<V>, bool) {
         let chosen_ballot = chosen.map_or(Ballot::ZERO, |proposal| proposal.ballot);
--- a/crates/register/src/acceptor/tests.rs
+++ b/crates/register/src/acceptor/tests.rs
@@ -124,15 +124,27 @@
 }
 
 #[test]
-fn after_a_failed_write_there_is_no_vote() {
+fn until_a_write_is_durable_there_is_no_vote_and_no_other_write() {
     let mut acceptor = member();
     acceptor.request(ASKER, prepare(&acceptor, 3), None);
     let write = acceptor.next_write().expect("a write");
-    assert!(acceptor.persist_failed(write.token));
-    assert!(acceptor.has_failed());
-    assert_eq!(acceptor.persisted(write.token), []);
     assert_eq!(acceptor.request(ASKER, prepare(&acceptor, 4), None), None);
     assert_eq!(acceptor.next_write(), None);
+    assert_eq!(acceptor.persisted(write.token + 1), []);
+    assert_matches!(&acceptor.persisted(write.token)[..], [Addressed { reply: Reply { round: 3, .. }, .. }]);
+}
+
+#[test]
+fn a_record_that_was_only_read_says_nothing_before_it_is_durable() {
+    let promised = Record { promised: ballot(7), reserved: 9, ..member().record };
+    let mut acceptor = Acceptor::fresh(promised, Guards::default());
+    let query = Request { round: 1, to: acceptor.identity(), ask: Ask::Query { known: Ballot::ZERO } };
+    assert_eq!(acceptor.request(ASKER, query.clone(), None), None);
+    assert_eq!((acceptor.reserved(), acceptor.used()), (0, 9));
+    let write = acceptor.next_write().expect("a write");
+    assert_eq!(acceptor.persisted(write.token), []);
+    assert_matches!(answer(&mut acceptor, query), Answer::Reported(report) if report.accepted.is_some());
+    assert_matches!(answer(&mut acceptor, prepare(&member(), 6)), Answer::Conflict { .. });
 }
 
 #[test]
--- /dev/null
+++ b/crates/register/src/first_start.rs
@@ -0,0 +1,92 @@
+//! Whether the whole system starts for the first time: asked by an initial member whose disk is empty.
+//!
+//! The identity of an initial member follows from its address, for the initial members have to know one another's before
+//! they can agree on anything. A machine whose disk was lost, and whose settings still say that the system starts for
+//! the first time, would take the same identity again and vote as if it had promised nothing. It therefore gives no vote
+//! before the others have told of their past ([`Past`]):
+//!
+//! - One that has voted for something, or knows something beyond the initial state: the disk was lost. The replica takes
+//!   a new identity, and the members decide whether to take it in.
+//! - All other initial members have voted for nothing: nor has this one's earlier life in any decision, for each
+//!   decision has a majority, and so another member. It is an initial member.
+//! - Some are out of reach: if those that are heard make a majority with this one, and all of them had empty disks too
+//!   when they were first heard, the system starts with machines missing. This is believed only after a while. Else it
+//!   waits: the one that is missing may be the only other that knows a decision.
+//!
+//! What remains unprotected: a loss of the disks of a majority, which loses the decisions themselves; and a promise to a
+//! coordinator that is no initial member, given and lost with the disk before that coordinator's request reached any
+//! other member of a system that has never been changed.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::acceptor::Record;
+use crate::ballot::Identity;
+use crate::message::Past;
+
+#[cfg(test)]
+mod tests;
+
+/// What the others' pasts show.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// Not enough yet.
+    Open,
+    /// The system starts for the first time.
+    First,
+    /// It has started before.
+    Later,
+}
+
+/// What has been heard of the others' pasts.
+#[derive(Clone, Debug)]
+pub(crate) struct FirstStart<V> {
+    own: SocketAddr,
+    members: Vec<SocketAddr>,
+    value: V,
+    patience: Duration,
+    /// Of each initial member, its past when it was first heard.
+    heard: BTreeMap<SocketAddr, Past>,
+    is_later: bool,
+    since: Option<Duration>,
+}
+
+impl<V> FirstStart<V> {
+    pub(crate) fn new(own: SocketAddr, members: Vec<SocketAddr>, value: V, patience: Duration) -> Self {
+        Self { own, members, value, patience, heard: BTreeMap::new(), is_later: false, since: None }
+    }
+
+    /// Addresses of the initial members, which are asked.
+    pub(crate) fn members(&self) -> impl Iterator<Item = SocketAddr> {
+        self.members.iter().copied()
+    }
+
+    /// A coordinator tells of its past. One that stands at a member's address under another identity is no witness: it
+    /// doesn't know what that member knew.
+    pub(crate) fn hear(&mut self, sender: Identity, address: SocketAddr, past: Past) {
+        self.is_later |= past == Past::Changed;
+        let is_member = address != self.own && self.members.contains(&address);
+        if is_member && sender == Identity::of_seed(address) {
+            self.heard.entry(address).or_insert(past);
+        }
+    }
+
+    pub(crate) fn verdict(&mut self, now: Duration) -> Verdict {
+        let since = *self.since.get_or_insert(now);
+        let others = self.members.iter().filter(|member| **member != self.own).count();
+        let majority_of_others = self.members.len() / 2;
+        let all_blank = self.heard.values().all(|past| *past == Past::Blank);
+        let is_likely = now >= since + self.patience && all_blank && self.heard.len() >= majority_of_others;
+        match (self.is_later, self.heard.len() == others || is_likely) {
+            (true, _) => Verdict::Later,
+            (false, true) => Verdict::First,
+            (false, false) => Verdict::Open,
+        }
+    }
+
+    /// The record of an initial member.
+    pub(crate) fn into_record(self) -> Record<V> {
+        Record::bootstrap(self.own, &self.members, self.value)
+    }
+}
--- a/crates/register/src/guard.rs
+++ b/crates/register/src/guard.rs
@@ -17,6 +17,8 @@
     JointChosenFirst,
     /// What isn't known as chosen is accepted anew before it is reported.
     ConfirmBeforeReport,
+    /// An initial member on an empty disk asks the others before it votes under the initial identity.
+    FirstStart,
 }
 
 /// Which guard a mutation test has removed; none outside test builds.
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod acceptor;
 pub mod ballot;
+mod first_start;
 pub mod guard;
 pub mod learner;
 pub mod message;
--- a/crates/register/src/message.rs
+++ b/crates/register/src/message.rs
@@ -123,6 +123,20 @@
     pub zone: String,
     /// Whether the node is about to stop for good.
     pub leaving: bool,
+    /// What the node's disk may have taken part in.
+    pub past: Past,
+}
+
+/// What a node may have taken part in, as far as it knows; for those who ask whether the system starts for the first
+/// time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Past {
+    /// Nothing: it has given no vote in this life and its disk was empty.
+    Blank,
+    /// It is a member, but knows of no promise and of no state beyond the initial one.
+    Initial,
+    /// It has promised, accepted or proposed something, or knows a state beyond the initial one.
+    Changed,
 }
 
 /// The content of a message.
--- a/crates/register/src/node.rs
+++ b/crates/register/src/node.rs
@@ -7,6 +7,8 @@
 
 use crate::acceptor::{Acceptor, Addressed, Record};
 use crate::ballot::{Ballot, Identity};
+use crate::first_start::FirstStart;
+use crate::guard::Guard;
 use crate::learner::Learner;
 use crate::message::{Announcement, Answer, Body, Digest, Message, Reply, Request};
 use crate::proposer::{Context, Counters, Effect, Proposer};
@@ -17,6 +19,7 @@
 use crate::steward::Steward;
 
 mod background;
+mod bootstrap;
 mod event;
 
 pub use event::{Action, Event, Origin, Place};
@@ -35,6 +38,8 @@
     peers: BTreeSet<SocketAddr>,
     leaving: bool,
     steward: Steward,
+    /// Whether the whole system starts for the first time, while that isn't known.
+    first_start: Option<FirstStart<V>>,
     background: background::Background,
     timer: Option<Duration>,
 }
@@ -44,8 +49,14 @@
     pub fn recover(origin: Origin<V>, place: Place, seed: u64, settings: Settings) -> Self {
         let mut random = Random::new(seed);
         let guards = settings.guards;
+        let mut first_start = None;
         let acceptor = match origin {
             Origin::Disk(record) => Acceptor::recovered(record, guards),
+            Origin::Unconfirmed(record) => Acceptor::fresh(record, guards),
+            Origin::Bootstrap { members, value } if guards.keeps(Guard::FirstStart) => {
+                first_start = Some(FirstStart::new(place.address, members, value, settings.first_start));
+                Acceptor::recovered(Record::empty(Identity::of_seed(place.address)), guards)
+            }
             Origin::Bootstrap { members, value } => {
                 Acceptor::fresh(Record::bootstrap(place.address, &members, value), guards)
             }
@@ -65,6 +76,7 @@
             peers: BTreeSet::new(),
             leaving: false,
             steward,
+            first_start,
             background: background::Background::default(),
             timer: None,
             settings,
@@ -100,11 +112,6 @@
                     self.send_reply(now, addressed, actions);
                 }
             }
-            Event::PersistFailed(token) => {
-                if self.acceptor.persist_failed(token) {
-                    actions.push(Action::StorageFailed);
-                }
-            }
             Event::Submit { id, operation, deadline } => self.proposer.submit(Some(id), operation, deadline),
             Event::Peers(addresses) => self.set_peers(addresses),
             Event::Leaving => self.leave(actions),
@@ -130,14 +137,16 @@
         let Message { sender, address, body } = message;
         self.steward.hear(now, sender, address);
         match body {
-            Body::Request(request) => {
+            Body::Request(request) if self.first_start.is_none() => {
                 if let Some(addressed) = self.acceptor.request(address, request, self.learner.chosen()) {
                     self.send_reply(now, addressed, actions);
                 }
             }
+            Body::Request(_) => {}
             Body::Reply(reply) => self.take_reply(now, sender, address, reply, actions),
             Body::Announce(announcement) => {
                 self.steward.hear_of(sender, address, &announcement.zone, announcement.leaving);
+                self.hear_past(sender, address, announcement.past);
                 self.take_announcement(now, address, &announcement, actions);
             }
             Body::Fetch { known } => {
@@ -216,7 +225,7 @@
         loop {
             let mut effects = Vec::new();
             let context = Context {
-                chosen: self.learner.chosen(),
+                chosen: self.learner.chosen().filter(|_| self.first_start.is_none()),
                 accepted: self.acceptor.accepted(),
                 reserved: self.acceptor.reserved(),
                 promised: self.acceptor.promised(),
@@ -286,6 +295,7 @@
             chosen: self.learner.chosen().map(digest),
             zone: self.place.zone.clone(),
             leaving: self.leaving,
+            past: self.past(),
         })
     }
 
@@ -293,6 +303,7 @@
     fn announce(&self, actions: &mut Vec<Action<V>>) {
         let members = self.chosen().into_iter().flat_map(|state| state.members.replicas());
         let mut addresses = self.peers.clone();
+        addresses.extend(self.first_start.iter().flat_map(FirstStart::members));
         addresses.extend(members.map(|replica| replica.address));
         addresses.remove(&self.place.address);
         for address in addresses {
--- a/crates/register/src/node/background.rs
+++ b/crates/register/src/node/background.rs
@@ -14,7 +14,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Background {
     started: bool,
-    announce_at: Duration,
+    pub(super) announce_at: Duration,
     steward_at: Duration,
     scrub_at: Option<Duration>,
     joint_since: Option<Duration>,
@@ -46,10 +46,19 @@
             self.steward.start(now);
             self.read(now);
         }
+        self.conclude_first_start(now, actions);
         if now >= self.background.announce_at {
-            self.background.announce_at = now + self.settings.announce;
+            let interval = match self.first_start {
+                Some(_) => self.settings.announce_first,
+                None => self.settings.announce,
+            };
+            self.background.announce_at = now + interval;
             self.announce(actions);
         }
+        if self.first_start.is_some() {
+            self.background.steward_at = self.background.announce_at;
+            return;
+        }
         if now >= self.background.steward_at {
             self.background.steward_at = now + STEWARD_INTERVAL;
             self.change_replicas(now);
@@ -93,7 +102,7 @@
         }
     }
 
-    fn read(&mut self, now: Duration) {
+    pub(super) fn read(&mut self, now: Duration) {
         self.proposer.submit(None, Operation::Read, now + self.settings.round_limit * 2);
     }
 
--- /dev/null
+++ b/crates/register/src/node/bootstrap.rs
@@ -0,0 +1,53 @@
+//! The start of an initial member on an empty disk: it becomes a member, or begins anew under another identity.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use crate::acceptor::{Acceptor, Record};
+use crate::ballot::{Ballot, Identity};
+use crate::first_start::Verdict;
+use crate::message::Past;
+use crate::node::{Action, Node};
+
+impl<V: Clone> Node<V> {
+    /// What this node's disk may have taken part in.
+    pub(super) fn past(&self) -> Past {
+        if self.acceptor.has_voted() || self.learner.ballot() > Ballot::ZERO {
+            return Past::Changed;
+        }
+        match self.acceptor.is_blank() {
+            true => Past::Blank,
+            false => Past::Initial,
+        }
+    }
+
+    /// Another coordinator tells of its past.
+    pub(super) fn hear_past(&mut self, sender: Identity, address: SocketAddr, past: Past) {
+        if let Some(first_start) = &mut self.first_start {
+            first_start.hear(sender, address, past);
+        }
+    }
+
+    /// Goes on as what the others' pasts show this node to be, once they do.
+    pub(super) fn conclude_first_start(&mut self, now: Duration, actions: &mut Vec<Action<V>>) {
+        let verdict = self.first_start.as_mut().map(|first_start| first_start.verdict(now));
+        let identity = match verdict {
+            None | Some(Verdict::Open) => return,
+            Some(Verdict::First) => None,
+            Some(Verdict::Later) => Some(Identity(self.random.next())),
+        };
+        let Some(first_start) = self.first_start.take() else { return };
+        let record = match identity {
+            None => first_start.into_record(),
+            Some(identity) => Record::empty(identity),
+        };
+        if let Some(identity) = identity {
+            self.proposer.take_identity(identity);
+            self.steward.take_identity(identity);
+            actions.push(Action::DiskWasLost);
+        }
+        self.acceptor = Acceptor::fresh(record, self.settings.guards);
+        self.background.announce_at = now;
+        self.read(now);
+    }
+}
--- a/crates/register/src/node/event.rs
+++ b/crates/register/src/node/event.rs
@@ -17,8 +17,6 @@
     Message(Message<V>),
     /// The write of that token is durable.
     Persisted(PersistToken),
-    /// The write of that token has failed.
-    PersistFailed(PersistToken),
     /// An operation is asked for.
     Submit {
         /// The caller's number of it.
@@ -46,8 +44,12 @@
         /// The message.
         message: Message<V>,
     },
-    /// Make the record durable in place of the one before, then report [`Event::Persisted`], or
-    /// [`Event::PersistFailed`]. One write is under way at a time.
+    /// Make the record durable in place of the one before, then report [`Event::Persisted`]. One write is under way at
+    /// a time.
+    ///
+    /// A write or sync that fails is not reported: the caller writes the whole record again, to another file, until
+    /// that is durable. Until then the replica votes for nothing new. That is safe since a failed write is like one
+    /// that a crash interrupts: the record may be found on the disk later or not, and no reply rests on it.
     Persist(Write<V>),
     /// An operation has ended.
     Completed {
@@ -58,8 +60,9 @@
     },
     /// A newer state is known as chosen.
     Learned(Arc<State<V>>),
-    /// A write has failed: this replica gives no vote until the process starts anew.
-    StorageFailed,
+    /// The settings say that the whole system starts for the first time, but another coordinator knows more: this
+    /// replica's disk was lost, and it takes another identity.
+    DiskWasLost,
     /// Report [`Event::Timer`] at that time; replaces the one asked for before.
     Timer(Duration),
 }
@@ -67,9 +70,11 @@
 /// Where a node's record comes from.
 #[derive(Clone, Debug)]
 pub enum Origin<V> {
-    /// From the disk.
+    /// From the disk, and durable.
     Disk(Record<V>),
-    /// The disk is empty and the whole system starts for the first time, with these members.
+    /// From the disk, but perhaps from the page cache only: it has to be written again before it counts.
+    Unconfirmed(Record<V>),
+    /// The disk is empty and the settings say that the whole system starts for the first time, with these members.
     Bootstrap {
         /// Addresses of all initial members; the same at each of them.
         members: Vec<SocketAddr>,
--- a/crates/register/src/proposer.rs
+++ b/crates/register/src/proposer.rs
@@ -77,6 +77,11 @@
         }
     }
 
+    /// Goes on under another identity; only while no ballot has been used.
+    pub(crate) fn take_identity(&mut self, identity: Identity) {
+        self.identity = identity;
+    }
+
     pub(crate) fn counters(&self) -> Counters {
         self.counters
     }
--- a/crates/register/src/settings.rs
+++ b/crates/register/src/settings.rs
@@ -23,6 +23,11 @@
     pub scrub: Duration,
     /// What is known as chosen is announced this often.
     pub announce: Duration,
+    /// A node that asks whether the whole system starts for the first time announces itself this often.
+    pub announce_first: Duration,
+    /// An initial member on an empty disk waits this long to hear all others before a majority suffices that is as
+    /// empty as itself.
+    pub first_start: Duration,
     /// A member that hasn't been heard for this time may be replaced.
     pub unreachable: Duration,
     /// Wait before a replica change, for each live member of smaller identity.
@@ -51,6 +56,8 @@
             backoff_limit: Duration::from_millis(640),
             scrub: Duration::from_millis(300),
             announce: Duration::from_millis(500),
+            announce_first: Duration::from_millis(100),
+            first_start: Duration::from_secs(3),
             unreachable: Duration::from_millis(1_500),
             steward_stagger: Duration::from_millis(400),
             target: 3,
--- a/crates/register/src/steward.rs
+++ b/crates/register/src/steward.rs
@@ -57,6 +57,11 @@
         }
     }
 
+    /// The own replica goes on under another identity.
+    pub fn take_identity(&mut self, identity: Identity) {
+        self.own.identity = identity;
+    }
+
     /// The node starts to listen: members that are never heard count as silent from here on.
     pub fn start(&mut self, now: Duration) {
         self.started = now;
--- a/crates/register/tests/encoding.rs
+++ b/crates/register/tests/encoding.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use ironmast_register::message::{Announcement, Answer, Ask, Body, Digest, Reply, Report, Request};
+use ironmast_register::message::{Announcement, Answer, Ask, Body, Digest, Past, Reply, Report, Request};
 use ironmast_register::state::Proposal;
 use ironmast_register::{Ballot, Identity, Message, Record};
 
@@ -32,7 +32,7 @@
         reply(Answer::Accepted { ballot: BALLOT }),
         reply(Answer::Conflict { promised: BALLOT }),
         reply(Answer::NotMember { chosen: BALLOT }),
-        Body::Announce(Announcement { chosen, zone: "a".to_owned(), leaving: true }),
+        Body::Announce(Announcement { chosen, zone: "a".to_owned(), leaving: true, past: Past::Initial }),
         Body::Fetch { known: BALLOT },
         Body::State(proposal),
     ]
--- a/crates/register/tests/mutations.rs
+++ b/crates/register/tests/mutations.rs
@@ -9,10 +9,11 @@
 
 use support::checks::Violation;
 use support::day::{Plan, play};
+use support::first_start;
 use support::value::Change;
 use support::world::World;
 
-const MOST_SEEDS: u64 = 400;
+const MOST_SEEDS: u64 = 1_500;
 const LIMIT: Duration = Duration::from_secs(2);
 
 /// Whether the violation is of safety, not of progress.
@@ -128,3 +129,13 @@
     println!("{found:?}");
     assert!(found.is_some());
 }
+
+#[test]
+fn a_vote_under_the_initial_identity_without_asking_is_noticed() {
+    let guards = Guards::without(Guard::FirstStart);
+    assert!(first_start::loses_a_change(guards));
+    assert!(!first_start::loses_a_change(Guards::default()));
+    let found = first_violation(Guard::FirstStart, &Plan::misled(3).losing(45));
+    println!("{found:?}");
+    assert!(found.is_some());
+}
--- a/crates/register/tests/simulation.rs
+++ b/crates/register/tests/simulation.rs
@@ -61,6 +61,12 @@
     hunt(seeds(3_000, 100), &Plan::wearing(3));
 }
 
+#[test]
+fn emptied_machines_that_start_as_if_for_the_first_time_are_borne() {
+    hunt(seeds(4_000, 100), &Plan::misled(3));
+    hunt(seeds(4_500, 40), &Plan::misled(5));
+}
+
 /// The seeds of a test; `REGISTER_SEEDS=FIRST,COUNT` plays others.
 fn seeds(first: u64, count: u64) -> std::ops::Range<u64> {
     let told = std::env::var("REGISTER_SEEDS").ok();
--- a/crates/register/tests/support/day.rs
+++ b/crates/register/tests/support/day.rs
@@ -28,19 +28,21 @@
     pub outage: u64,
     /// Longest time between faults that may overlap, in milliseconds.
     pub gap: u64,
+    /// Percent of emptied machines whose settings still say that the whole system starts for the first time.
+    pub misled: u64,
 }
 
 impl Plan {
     /// A day of that many members with faults of up to two seconds.
     pub fn ordinary(members: usize) -> Self {
         let length = Duration::from_secs(16);
-        Self { members, spares: 4, length, losses: 30, loss: 12, outage: 2_000, gap: 900 }
+        Self { members, spares: 4, length, losses: 30, loss: 12, outage: 2_000, gap: 900, misled: 0 }
     }
 
     /// A day of short faults that follow closely, on a network that loses much.
     pub fn rough(members: usize) -> Self {
         let length = Duration::from_secs(10);
-        Self { members, spares: 4, length, losses: 5, loss: 20, outage: 120, gap: 60 }
+        Self { members, spares: 4, length, losses: 5, loss: 20, outage: 120, gap: 60, misled: 0 }
     }
 
     /// A day on which mostly disks are lost, on a network that loses much.
@@ -48,6 +50,11 @@
         Self { losses: 90, loss: 20, outage: 700, ..Self::ordinary(members) }
     }
 
+    /// A wearing day on which emptied machines start as if for the first time.
+    pub fn misled(members: usize) -> Self {
+        Self { misled: 100, ..Self::wearing(members) }
+    }
+
     /// The day on a network that loses up to that percentage of messages.
     pub fn losing(self, loss: u64) -> Self {
         Self { loss, ..self }
@@ -84,7 +91,11 @@
 #[derive(Clone, Copy, Debug)]
 enum End {
     Start(usize),
+    /// A host whose settings still say that the whole system starts for the first time.
+    StartFirst(usize),
     Restart(usize),
+    /// Writes succeed again.
+    Write(usize),
     Retire(usize),
     Mend,
 }
@@ -239,6 +250,8 @@
     fn end(&mut self, end: End) {
         match end {
             End::Start(host) => self.world.start(host),
+            End::StartFirst(host) => self.world.start_first(host),
+            End::Write(host) => self.world.hosts[host].fails = false,
             End::Restart(host) => {
                 self.world.kill(host);
                 self.world.start(host);
@@ -291,7 +304,9 @@
             }
             _ => {
                 self.world.wipe(host);
-                self.open.push((at, End::Start(host)));
+                let may_be = self.plan.misled > 0 && host < self.plan.members;
+                let misled = may_be && self.world.random.chance(self.plan.misled);
+                self.open.push((at, if misled { End::StartFirst(host) } else { End::Start(host) }));
             }
         }
         lasts
@@ -321,7 +336,8 @@
             3 => self.world.hosts[host].stalled_until = at,
             4 => {
                 self.world.hosts[host].fails = true;
-                self.open.push((at, End::Restart(host)));
+                let dies = self.world.random.chance(50);
+                self.open.push((at, if dies { End::Restart(host) } else { End::Write(host) }));
             }
             5 => {
                 let other = hosts[self.pick(hosts.len())];
--- a/crates/register/tests/support/mod.rs
+++ b/crates/register/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod checks;
 pub mod day;
+pub mod first_start;
 pub mod random;
 pub mod value;
 pub mod world;
--- a/crates/register/tests/support/world.rs
+++ b/crates/register/tests/support/world.rs
@@ -30,6 +30,9 @@
 
 pub const CALM: Weather = Weather { loss: 0, doubled: 0, jitter: 2, sync: 3 };
 
+/// A write that has failed is tried again after this.
+const REWRITE: Duration = Duration::from_millis(200);
+
 pub struct Host {
     pub address: SocketAddr,
     pub zone: String,
@@ -92,12 +95,22 @@
             outcomes: BTreeMap::new(),
         };
         for host in 0..members {
-            let origin = Origin::Bootstrap { members: world.seeds.clone(), value: Value::default() };
-            world.start_from(host, origin);
+            world.start_first(host);
         }
         world
     }
 
+    /// Starts a host whose settings say that the whole system starts for the first time.
+    pub fn start_first(&mut self, host: usize) {
+        match self.hosts[host].disk.is_some() {
+            true => self.start(host),
+            false => {
+                let origin = Origin::Bootstrap { members: self.seeds.clone(), value: Value::default() };
+                self.start_from(host, origin);
+            }
+        }
+    }
+
     /// Starts a host from its disk; with a new identity if it is empty.
     pub fn start(&mut self, host: usize) {
         let origin = match self.hosts[host].disk.clone() {
@@ -229,14 +242,7 @@
                 }
             }
             Happening::Written { host, life, token } if life == self.hosts[host].life => {
-                let fails = self.hosts[host].fails;
-                let reaches = !fails || self.random.chance(50);
-                let write = self.hosts[host].writing.take_if(|write| write.token == token);
-                if let Some(write) = write.filter(|_| reaches) {
-                    self.hosts[host].disk = Some(write.record);
-                }
-                let event = if fails { Event::PersistFailed(token) } else { Event::Persisted(token) };
-                self.handle(host, event);
+                self.end_write(host, token);
             }
             Happening::Rings { host, life, at } if life == self.hosts[host].life => {
                 if self.hosts[host].timer == at {
@@ -247,6 +253,27 @@
         }
     }
 
+    /// A write ends. One that fails may have reached the disk or not, and is tried again.
+    fn end_write(&mut self, host: usize, token: PersistToken) {
+        let fails = self.hosts[host].fails;
+        let reaches = !fails || self.random.chance(50);
+        let entry = &mut self.hosts[host];
+        let Some(write) = entry.writing.take_if(|write| write.token == token) else {
+            return;
+        };
+        if reaches {
+            entry.disk = Some(write.record.clone());
+        }
+        if !fails {
+            self.handle(host, Event::Persisted(token));
+            return;
+        }
+        self.storage_failures += 1;
+        entry.writing = Some(write);
+        let life = entry.life;
+        self.schedule(self.now + REWRITE, Happening::Written { host, life, token });
+    }
+
     fn act(&mut self, host: usize, action: Action<Value>) {
         let life = self.hosts[host].life;
         match action {
@@ -265,7 +292,7 @@
                 }
             }
             Action::Learned(state) => self.checks.see(&state),
-            Action::StorageFailed => self.storage_failures += 1,
+            Action::DiskWasLost => {}
             Action::Timer(at) => {
                 self.hosts[host].timer = at;
                 self.schedule(at, Happening::Rings { host, life, at });
