--- a/crates/register/src/guard.rs
+++ b/crates/register/src/guard.rs
@@ -19,6 +19,8 @@
     ConfirmBeforeReport,
     /// An initial member on an empty disk asks the others before it votes under the initial identity.
     FirstStart,
+    /// A node that has started tells no state as learnt before it has read one from a majority.
+    ReadBeforeTold,
 }
 
 /// Which guard a mutation test has removed; none outside test builds.
--- a/crates/register/src/node.rs
+++ b/crates/register/src/node.rs
@@ -38,6 +38,9 @@
     peers: BTreeSet<SocketAddr>,
     leaving: bool,
     steward: Steward,
+    /// Whether a state was read from a majority, or chosen by one, in this life. What others tell before may be older
+    /// than what an earlier life has acknowledged, so it is not passed on.
+    has_read: bool,
     /// Whether the whole system starts for the first time, while that isn't known.
     first_start: Option<FirstStart<V>>,
     background: background::Background,
@@ -77,6 +80,7 @@
             leaving: false,
             steward,
             first_start,
+            has_read: !guards.keeps(Guard::ReadBeforeTold),
             background: background::Background::default(),
             timer: None,
             settings,
@@ -215,11 +219,19 @@
     }
 
     fn learn(&mut self, proposal: &Proposal<V>, actions: &mut Vec<Action<V>>) {
-        if self.learner.learn(proposal).is_some() {
+        if self.learner.learn(proposal).is_some() && self.has_read {
             actions.push(Action::Learned(Arc::clone(&proposal.state)));
         }
     }
 
+    /// Tells what is known once a majority has been read for the first time.
+    fn tell_first(&mut self, actions: &mut Vec<Action<V>>) {
+        if !std::mem::replace(&mut self.has_read, true) {
+            let state = self.learner.chosen().map(|chosen| Arc::clone(&chosen.state));
+            actions.extend(state.map(Action::Learned));
+        }
+    }
+
     /// Lets the proposer work until it waits for others.
     fn propose(&mut self, now: Duration, actions: &mut Vec<Action<V>>) {
         loop {
@@ -247,6 +259,7 @@
                 Effect::Chosen { proposal, announce } => {
                     let is_new = self.learner.ballot() < proposal.ballot;
                     self.learn(&proposal, actions);
+                    self.tell_first(actions);
                     if announce && is_new {
                         self.announce(actions);
                     }
--- a/crates/register/src/node/background.rs
+++ b/crates/register/src/node/background.rs
@@ -64,6 +64,9 @@
             self.change_replicas(now);
         }
         self.scrub(now);
+        if !self.has_read && !self.proposer.is_busy() {
+            self.read(now);
+        }
     }
 
     /// Proposes the replica change that is due, if any.
--- a/crates/register/src/node/event.rs
+++ b/crates/register/src/node/event.rs
@@ -58,7 +58,8 @@
         /// How it ended.
         outcome: Outcome<V>,
     },
-    /// A newer state is known as chosen.
+    /// A newer state is known as chosen. The first one of a life was read from a majority, so that none is older than
+    /// what an earlier life has acknowledged.
     Learned(Arc<State<V>>),
     /// The settings say that the whole system starts for the first time, but another coordinator knows more: this
     /// replica's disk was lost, and it takes another identity.
--- a/crates/register/tests/support/world.rs
+++ b/crates/register/tests/support/world.rs
@@ -47,6 +47,8 @@
     /// The write under way.
     writing: Option<Write<Value>>,
     timer: Duration,
+    /// Sequences of the states told as learnt in this life.
+    pub told: Vec<u64>,
 }
 
 enum Happening {
@@ -126,6 +128,7 @@
         let place = Place { address: self.hosts[host].address, zone: self.hosts[host].zone.clone() };
         let entry = &mut self.hosts[host];
         entry.life += 1;
+        entry.told.clear();
         entry.node = Some(Node::recover(origin, place, seed, settings));
         self.handle(host, Event::Timer);
         self.tell_peers();
@@ -291,7 +294,10 @@
                     self.outcomes.insert(id, outcome);
                 }
             }
-            Action::Learned(state) => self.checks.see(&state),
+            Action::Learned(state) => {
+                self.hosts[host].told.push(state.sequence);
+                self.checks.see(&state);
+            }
             Action::DiskWasLost => {}
             Action::Timer(at) => {
                 self.hosts[host].timer = at;
@@ -340,5 +346,6 @@
         fails: false,
         writing: None,
         timer: Duration::ZERO,
+        told: Vec::new(),
     }
 }
