--- a/crates/register/src/acceptor.rs
+++ b/crates/register/src/acceptor.rs
@@ -136,6 +136,11 @@
         self.record.reserved
     }
 
+    /// Whether nothing is answered yet, since the first record isn't durable.
+    pub fn is_mute(&self) -> bool {
+        self.mute
+    }
+
     /// Whether the replica holds no state at all, durable or not.
     pub fn is_blank(&self) -> bool {
         self.record.accepted.is_none()
--- a/crates/register/src/lib.rs
+++ b/crates/register/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod acceptor;
 pub mod ballot;
+pub mod contact;
 mod first_start;
 pub mod guard;
 pub mod learner;
--- a/crates/register/src/node/background.rs
+++ b/crates/register/src/node/background.rs
@@ -55,6 +55,7 @@
             self.background.announce_at = now + interval;
             self.announce(actions);
         }
+        self.question(now, actions);
         if self.first_start.is_some() {
             self.background.steward_at = self.background.announce_at;
             return;
--- a/crates/register/tests/mutations.rs
+++ b/crates/register/tests/mutations.rs
@@ -13,7 +13,7 @@
 use support::value::Change;
 use support::world::World;
 
-const MOST_SEEDS: u64 = 1_500;
+const MOST_SEEDS: u64 = 4_000;
 const LIMIT: Duration = Duration::from_secs(2);
 
 /// Whether the violation is of safety, not of progress.
