coordinator: a thousand changes of 350 routes through every trouble, on the real log

The register's nodes and the real log, on disks that tear, fail, fill up and stall: kills and losses of power of one and of all, absences of 200 changes, freezes, starts on a full disk, orders sent again.

benches/start.rs prints time and memory of a start after 10 to 10,000 changes.

--- /dev/null
+++ b/crates/coordinator/benches/start.rs
@@ -0,0 +1,90 @@
+//! Time and memory of a start, and bytes on the disk, after 10 to 10,000 changes of a configuration of 350 routes; each
+//! change is a promise and an acceptance. A table, not a criterion run: each row needs a disk of its own history.
+//!
+//! `cargo bench -p ironmast-coordinator --bench start`; the disk is that of the folder for temporary files.
+
+#[path = "../tests/many_changes/value.rs"]
+mod value;
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use ironmast_register::state::Proposal;
+use ironmast_register::{Ballot, Identity, Record};
+use ironmast_storage::{Disk, Log, LogSettings, RealDisk, Recovered};
+use value::{Control, body};
+
+/// Bytes of a configuration of 350 routes.
+const ROUTES_350: usize = 100_000;
+const DISK_BYTES: u64 = 128 << 20;
+const STARTS: usize = 15;
+
+fn open(folder: &Path) -> (Log<Record<Control>>, Recovered<Record<Control>>) {
+    let disk: Arc<dyn Disk> = Arc::new(RealDisk::open(folder).expect("folder"));
+    let settings = LogSettings::new("register", DISK_BYTES).expect("settings");
+    Log::open(disk, settings).expect("open")
+}
+
+fn initial() -> Record<Control> {
+    let members: Vec<SocketAddr> =
+        (7_000..7_003).map(|port| SocketAddr::from(([127, 0, 0, 1], port))).collect();
+    Record::bootstrap(members[0], &members, Control::default())
+}
+
+/// A promise and an acceptance, each durable.
+fn change(log: &mut Log<Record<Control>>, record: &mut Record<Control>, generation: u64) {
+    let ballot = Ballot { counter: generation, identity: Identity(7) };
+    record.promised = ballot;
+    log.append(record).expect("append");
+    log.sync().expect("sync");
+    let accepted = record.accepted.as_ref().expect("initial").state.clone();
+    let value = Control { generation, body: body(generation, ROUTES_350) };
+    let state = Arc::new(accepted.successor(ballot, accepted.members.clone(), Arc::new(value)));
+    record.accepted = Some(Proposal { ballot, state });
+    log.append(record).expect("append");
+    log.sync().expect("sync");
+}
+
+fn folder_bytes(folder: &Path) -> u64 {
+    let entries = std::fs::read_dir(folder).expect("folder");
+    entries.map(|entry| entry.expect("entry").metadata().expect("metadata").len()).sum()
+}
+
+/// Memory in use, in KiB.
+fn resident() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("status");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a size");
+    line.trim().trim_end_matches("kB").trim().parse().expect("a number")
+}
+
+fn main() {
+    println!("| changes | a change | start, median | start, worst | memory held | on disk |");
+    println!("|---|---|---|---|---|---|");
+    for changes in [10, 100, 1_000, 10_000_u64] {
+        let folder = tempfile::tempdir().expect("folder");
+        let (mut log, _) = open(folder.path());
+        let mut record = initial();
+        let begun = Instant::now();
+        (1..=changes).for_each(|generation| change(&mut log, &mut record, generation));
+        let each = begun.elapsed() / u32::try_from(changes).expect("few");
+        drop((log, record));
+        let before = resident();
+        let held = open(folder.path());
+        let memory = resident().saturating_sub(before);
+        drop(held);
+        let mut times: Vec<Duration> = (0..STARTS)
+            .map(|_| {
+                let begun = Instant::now();
+                let (_log, found) = open(folder.path());
+                assert!(matches!(found, Recovered::Found { durable: true, .. }));
+                begun.elapsed()
+            })
+            .collect();
+        times.sort_unstable();
+        let on_disk = folder_bytes(folder.path()) >> 10;
+        let (median, worst) = (times[STARTS / 2], times[STARTS - 1]);
+        println!("| {changes} | {each:.1?} | {median:.1?} | {worst:.1?} | {memory} KiB | {on_disk} KiB |");
+    }
+}
--- a/crates/coordinator/tests/arbitrary_frames.rs
+++ b/crates/coordinator/tests/arbitrary_frames.rs
@@ -56,7 +56,7 @@
         bytes(&ToCoordinator::Entries(entries.clone())),
         bytes(&ToCoordinator::Register(register_messages().remove(0))),
         bytes(&ToCoordinator::Alive(heard.clone())),
-        bytes(&FromCoordinator::Alive { coordinators, heard }),
+        bytes(&FromCoordinator::Alive { coordinators, heard, in_contact: true }),
         bytes(&ToGate::Entries(entries)),
         bytes(&FromGate::Status { frontend: address(80), ready: true }),
     ]
--- /dev/null
+++ b/crates/coordinator/tests/many_changes/host.rs
@@ -0,0 +1,160 @@
+//! One coordinator: the register's node and the real log, on a disk that misbehaves.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use ironmast_register::node::Place;
+use ironmast_register::{Action, Event, Node, Origin, PersistToken, Record, Settings};
+use ironmast_storage::testing::FaultyDisk;
+use ironmast_storage::{Disk, Log, LogSettings, LogState, Recovered};
+
+use super::value::Control;
+
+/// What the log may use of a disk of 128 MB.
+pub const SPACE_BYTES: u64 = 16 << 20;
+
+/// A write under way.
+struct Writing {
+    token: PersistToken,
+    record: Record<Control>,
+}
+
+/// A process that runs.
+struct Process {
+    node: Node<Control>,
+    log: Log<Record<Control>>,
+    writing: Option<Writing>,
+}
+
+/// What has come to a host.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Received {
+    /// Messages that hold a whole state.
+    pub states: u64,
+    /// Bytes of all messages.
+    pub bytes: u64,
+}
+
+/// A machine.
+pub struct Host {
+    pub address: SocketAddr,
+    pub disk: Arc<FaultyDisk>,
+    process: Option<Process>,
+    /// Raised at each start and end; events of earlier lives are void.
+    pub life: u64,
+    /// Writes end no earlier than this.
+    pub stalled_until: Duration,
+    /// Time that a write takes.
+    pub sync: Duration,
+    pub timer: Duration,
+    /// Frozen: it does nothing.
+    pub frozen: bool,
+    /// The newest generation that it acknowledged, in any life.
+    pub acknowledged: u64,
+    pub received: Received,
+    pub writes: u64,
+    pub failed_writes: u64,
+    pub written_bytes: u64,
+    pub peak_bytes: u64,
+}
+
+impl Host {
+    pub fn new(index: u16, seed: u64) -> Self {
+        Self {
+            address: SocketAddr::from(([127, 0, 0, 1], 7_000 + index)),
+            disk: Arc::new(FaultyDisk::new(seed)),
+            process: None,
+            life: 0,
+            stalled_until: Duration::ZERO,
+            sync: Duration::from_millis(3),
+            timer: Duration::ZERO,
+            frozen: false,
+            acknowledged: 0,
+            received: Received::default(),
+            writes: 0,
+            failed_writes: 0,
+            written_bytes: 0,
+            peak_bytes: 0,
+        }
+    }
+
+    pub fn is_up(&self) -> bool {
+        self.process.is_some()
+    }
+
+    /// Starts the process from its disk; false where the folder can't be read.
+    pub fn start(&mut self, seeds: &[SocketAddr], bootstrap: bool, seed: u64) -> bool {
+        let settings = LogSettings::with_space("register", SPACE_BYTES).expect("settings");
+        let disk = Arc::clone(&self.disk) as Arc<dyn Disk>;
+        let Ok((log, recovered)) = Log::<Record<Control>>::open(disk, settings) else { return false };
+        let origin = match recovered {
+            Recovered::Found { record, durable: true, .. } => Origin::Disk(record),
+            Recovered::Found { record, .. } => Origin::Unconfirmed(record),
+            Recovered::Empty if bootstrap => {
+                Origin::Bootstrap { members: seeds.to_vec(), value: Control::default() }
+            }
+            Recovered::Empty => panic!("the record of {} is lost", self.address),
+        };
+        let place = Place { address: self.address, zone: self.address.port().to_string() };
+        let node = Node::recover(origin, place, seed, Settings::bearing(1));
+        self.process = Some(Process { node, log, writing: None });
+        self.life += 1;
+        true
+    }
+
+    /// Ends the process; what it was writing may reach the disk in part.
+    pub fn end(&mut self, operations: u64) {
+        self.life += 1;
+        let Some(mut process) = self.process.take() else { return };
+        if let Some(writing) = process.writing.take() {
+            self.disk.stop_after(operations);
+            let _stopped_midway = write(&mut process.log, &writing.record);
+        }
+    }
+
+    pub fn generation(&self) -> Option<u64> {
+        let process = self.process.as_ref()?;
+        process.node.chosen().map(|state| state.value.generation)
+    }
+
+    pub fn handle(&mut self, now: Duration, event: Event<Control>) -> Vec<Action<Control>> {
+        let mut actions = Vec::new();
+        if let Some(process) = &mut self.process {
+            process.node.handle(now, event, &mut actions);
+        }
+        actions
+    }
+
+    /// Hands a record in to be written.
+    pub fn begin_write(&mut self, token: PersistToken, record: Record<Control>) {
+        if let Some(process) = &mut self.process {
+            process.writing = Some(Writing { token, record });
+        }
+    }
+
+    /// Writes what was handed in; nothing if that failed and has to be tried again.
+    pub fn end_write(&mut self) -> Option<PersistToken> {
+        let process = self.process.as_mut()?;
+        let writing = process.writing.as_ref()?;
+        self.writes += 1;
+        self.written_bytes +=
+            postcard::experimental::serialized_size(&writing.record).expect("encoded") as u64;
+        let done = write(&mut process.log, &writing.record).is_ok();
+        self.peak_bytes = self.peak_bytes.max(self.disk.used_bytes());
+        if !done {
+            self.failed_writes += 1;
+            return None;
+        }
+        process.writing.take().map(|writing| writing.token)
+    }
+}
+
+/// As the writer's thread does it.
+fn write(log: &mut Log<Record<Control>>, record: &Record<Control>) -> Result<(), ironmast_storage::LogError> {
+    if log.state() != LogState::Ready {
+        return log.reopen(record);
+    }
+    log.append(record)?;
+    log.sync()
+}
