--- a/crates/register/src/guard.rs
+++ b/crates/register/src/guard.rs
@@ -24,6 +24,10 @@
     LostByMajority,
     /// Time for which the own process stood still is no silence of the others.
     OwnPause,
+    /// An initial member on an empty disk asks the others before it votes under the initial identity.
+    FirstStart,
+    /// A node that has started tells no state as learnt before it has read one from a majority.
+    ReadBeforeTold,
 }
 
 /// Which guard a mutation test has removed; none outside test builds.
--- a/crates/register/src/message.rs
+++ b/crates/register/src/message.rs
@@ -126,6 +126,20 @@
     pub leaving: bool,
     /// Members that the node has not heard for [`Settings::unreachable`](crate::Settings::unreachable).
     pub silent: Vec<Identity>,
+    /// What the node's disk may have taken part in.
+    pub past: Past,
+}
+
+/// What a node may have taken part in, as far as it knows; for those who ask whether the system starts for the first
+/// time.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Past {
+    /// Nothing: it has given no vote in this life and its disk was empty.
+    Blank,
+    /// It is a member, but knows of no promise and of no state beyond the initial one.
+    Initial,
+    /// It has promised, accepted or proposed something, or knows a state beyond the initial one.
+    Changed,
 }
 
 /// The answer to a question, and what the answering node holds of the replica set.
--- a/crates/register/src/node.rs
+++ b/crates/register/src/node.rs
@@ -8,6 +8,8 @@
 use crate::acceptor::{Acceptor, Addressed, Record};
 use crate::ballot::{Ballot, Identity};
 use crate::contact::Contact;
+use crate::first_start::FirstStart;
+use crate::guard::Guard;
 use crate::learner::Learner;
 use crate::message::{Answer, Body, Message, Reply, Request};
 use crate::proposer::{Context, Counters, Effect, Proposer};
@@ -19,6 +21,7 @@
 
 mod announce;
 mod background;
+mod bootstrap;
 mod event;
 mod question;
 
@@ -38,6 +41,11 @@
     peers: BTreeSet<SocketAddr>,
     leaving: bool,
     steward: Steward,
+    /// Whether a state was read from a majority, or chosen by one, in this life. What others tell before may be older
+    /// than what an earlier life has acknowledged, so it is not passed on.
+    has_read: bool,
+    /// Whether the whole system starts for the first time, while that isn't known.
+    first_start: Option<FirstStart<V>>,
     contact: Contact,
     background: background::Background,
     timer: Option<Duration>,
@@ -48,8 +56,14 @@
     pub fn recover(origin: Origin<V>, place: Place, seed: u64, settings: Settings) -> Self {
         let mut random = Random::new(seed);
         let guards = settings.guards;
+        let mut first_start = None;
         let acceptor = match origin {
             Origin::Disk(record) => Acceptor::recovered(record, guards),
+            Origin::Unconfirmed(record) => Acceptor::fresh(record, guards),
+            Origin::Bootstrap { members, value } if guards.keeps(Guard::FirstStart) => {
+                first_start = Some(FirstStart::new(place.address, members, value, settings.first_start));
+                Acceptor::recovered(Record::empty(Identity::of_seed(place.address)), guards)
+            }
             Origin::Bootstrap { members, value } => {
                 Acceptor::fresh(Record::bootstrap(place.address, &members, value), guards)
             }
@@ -70,6 +84,8 @@
             peers: BTreeSet::new(),
             leaving: false,
             steward,
+            first_start,
+            has_read: !guards.keeps(Guard::ReadBeforeTold),
             contact,
             background: background::Background::default(),
             timer: None,
@@ -123,17 +139,11 @@
         match event {
             Event::Message(message) => self.receive(now, message, actions),
             Event::Persisted(token) => {
+                self.background.writing_since = None;
                 for addressed in self.acceptor.persisted(token) {
                     self.send_reply(now, addressed, actions);
                 }
             }
-            Event::PersistFailed(token) => {
-                if self.acceptor.persist_failed(token) {
-                    actions.push(Action::StorageFailed);
-                    // Without a vote it is of no use as a member.
-                    self.leave(actions);
-                }
-            }
             Event::Submit { id, operation, deadline } => self.proposer.submit(Some(id), operation, deadline),
             Event::Peers(addresses) => self.set_peers(addresses),
             Event::Leaving => self.leave(actions),
@@ -142,7 +152,7 @@
         }
         self.tend(now, actions);
         self.propose(now, actions);
-        self.write(actions);
+        self.write(now, actions);
         self.set_timer(now, actions);
     }
 
@@ -152,22 +162,29 @@
 
     fn leave(&mut self, actions: &mut Vec<Action<V>>) {
         self.leaving = true;
-        self.steward.leave();
+        self.steward.set_leaving(true);
         self.announce(actions);
     }
 
+    /// Whether another coordinator is to take this replica's place.
+    fn gives_place_up(&self) -> bool {
+        self.leaving || self.background.disk_is_stuck
+    }
+
     fn receive(&mut self, now: Duration, message: Message<V>, actions: &mut Vec<Action<V>>) {
         let Message { sender, address, body } = message;
         self.steward.hear(now, sender, address);
         match body {
-            Body::Request(request) => {
+            Body::Request(request) if self.first_start.is_none() => {
                 if let Some(addressed) = self.acceptor.request(address, request, self.learner.chosen()) {
                     self.send_reply(now, addressed, actions);
                 }
             }
+            Body::Request(_) => {}
             Body::Reply(reply) => self.take_reply(now, sender, address, reply, actions),
             Body::Announce(announcement) => {
                 self.steward.hear_of(sender, address, &announcement);
+                self.hear_past(sender, address, announcement.past);
                 self.take_announcement(now, address, &announcement, actions);
             }
             Body::Fetch { known } => {
@@ -179,11 +196,19 @@
                 }
             }
             Body::State(proposal) => self.learn(&proposal, actions),
-            Body::Question { number } => self.send(address, Body::Echo(self.echo(number)), actions),
+            Body::Question { number } if self.knows_its_record() => {
+                self.send(address, Body::Echo(self.echo(number)), actions);
+            }
+            Body::Question { .. } => {}
             Body::Echo(echo) => self.take_echo(now, sender, address, echo, actions),
         }
     }
 
+    /// Whether what this replica held is known, so that its silence about a newer replica set means that it holds none.
+    fn knows_its_record(&self) -> bool {
+        self.first_start.is_none() && !self.acceptor.is_mute()
+    }
+
     fn take_reply(
         &mut self,
         now: Duration,
@@ -201,17 +226,25 @@
     }
 
     fn learn(&mut self, proposal: &Proposal<V>, actions: &mut Vec<Action<V>>) {
-        if self.learner.learn(proposal).is_some() {
+        if self.learner.learn(proposal).is_some() && self.has_read {
             actions.push(Action::Learned(Arc::clone(&proposal.state)));
         }
     }
 
+    /// Tells what is known once a majority has been read for the first time.
+    fn tell_first(&mut self, actions: &mut Vec<Action<V>>) {
+        if !std::mem::replace(&mut self.has_read, true) {
+            let state = self.learner.chosen().map(|chosen| Arc::clone(&chosen.state));
+            actions.extend(state.map(Action::Learned));
+        }
+    }
+
     /// Lets the proposer work until it waits for others.
     fn propose(&mut self, now: Duration, actions: &mut Vec<Action<V>>) {
         loop {
             let mut effects = Vec::new();
             let context = Context {
-                chosen: self.learner.chosen(),
+                chosen: self.learner.chosen().filter(|_| self.first_start.is_none()),
                 accepted: self.acceptor.accepted(),
                 reserved: self.acceptor.reserved(),
                 promised: self.acceptor.promised(),
@@ -233,6 +266,7 @@
                 Effect::Chosen { proposal, announce } => {
                     let is_new = self.learner.ballot() < proposal.ballot;
                     self.learn(&proposal, actions);
+                    self.tell_first(actions);
                     if announce && is_new {
                         self.announce(actions);
                     }
@@ -278,6 +312,7 @@
     fn others(&self) -> BTreeSet<SocketAddr> {
         let members = self.members().into_iter().flat_map(Membership::replicas);
         let mut addresses = self.peers.clone();
+        addresses.extend(self.first_start.iter().flat_map(FirstStart::members));
         addresses.extend(members.map(|replica| replica.address));
         addresses.remove(&self.place.address);
         addresses
@@ -288,8 +323,9 @@
         actions.push(Action::Send { to, message });
     }
 
-    fn write(&mut self, actions: &mut Vec<Action<V>>) {
+    fn write(&mut self, now: Duration, actions: &mut Vec<Action<V>>) {
         if let Some(write) = self.acceptor.next_write() {
+            self.background.writing_since = Some(now);
             actions.push(Action::Persist(write));
         }
     }
--- a/crates/register/src/node/announce.rs
+++ b/crates/register/src/node/announce.rs
@@ -58,8 +58,9 @@
         Body::Announce(Announcement {
             chosen: self.learner.chosen().map(digest),
             zone: self.place.zone.clone(),
-            leaving: self.leaving,
+            leaving: self.gives_place_up(),
             silent: self.background.silent.clone(),
+            past: self.past(),
         })
     }
 
--- a/crates/register/src/node/background.rs
+++ b/crates/register/src/node/background.rs
@@ -17,7 +17,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Background {
     started: bool,
-    announce_at: Duration,
+    pub(super) announce_at: Duration,
     steward_at: Duration,
     scrub_at: Option<Duration>,
     joint_since: Option<Duration>,
@@ -26,6 +26,10 @@
     acted_at: Duration,
     /// Members that are not heard, as the others were told.
     pub(super) silent: Vec<Identity>,
+    /// Since when the write under way waits for the disk.
+    pub(super) writing_since: Option<Duration>,
+    /// Whether the disk has taken nothing for so long that another is to vote in this replica's place.
+    pub(super) disk_is_stuck: bool,
 }
 
 impl Background {
@@ -52,6 +56,7 @@
         let is_paused = self.background.started && pause >= PAUSE;
         if is_paused && self.settings.guards.keeps(Guard::OwnPause) {
             self.steward.stood_still(pause);
+            self.background.writing_since = self.background.writing_since.map(|since| since + pause);
         }
         self.background.acted_at = now;
     }
@@ -63,17 +68,30 @@
             self.steward.start(now);
             self.read(now);
         }
+        self.conclude_first_start(now, actions);
         if now >= self.background.announce_at {
-            self.background.announce_at = now + self.settings.announce;
+            let interval = match self.first_start {
+                Some(_) => self.settings.announce_first,
+                None => self.settings.announce,
+            };
+            self.background.announce_at = now + interval;
             self.announce(actions);
         }
         self.question(now, actions);
+        if self.first_start.is_some() {
+            self.background.steward_at = self.background.announce_at;
+            return;
+        }
         if now >= self.background.steward_at {
             self.background.steward_at = now + STEWARD_INTERVAL;
             self.report_silent(now, actions);
+            self.report_disk(now, actions);
             self.change_replicas(now);
         }
         self.scrub(now);
+        if !self.has_read && !self.proposer.is_busy() {
+            self.read(now);
+        }
     }
 
     /// Tells the others at once that a member has fallen silent, or is heard again.
@@ -86,6 +104,17 @@
         }
     }
 
+    /// Gives the replica's place up while its disk takes no write: without a vote it is of no use as a member.
+    fn report_disk(&mut self, now: Duration, actions: &mut Vec<Action<V>>) {
+        let patience = self.settings.unreachable;
+        let is_stuck = self.background.writing_since.is_some_and(|since| now >= since + patience);
+        if is_stuck != self.background.disk_is_stuck {
+            self.background.disk_is_stuck = is_stuck;
+            self.steward.set_leaving(self.gives_place_up());
+            self.announce(actions);
+        }
+    }
+
     /// Proposes the replica change that is due, if any.
     fn change_replicas(&mut self, now: Duration) {
         let Some(state) = self.learner.chosen().map(|proposal| Arc::clone(&proposal.state)) else {
@@ -122,7 +151,7 @@
         }
     }
 
-    fn read(&mut self, now: Duration) {
+    pub(super) fn read(&mut self, now: Duration) {
         self.proposer.submit(None, Operation::Read, now + self.settings.round_limit * 2);
     }
 
--- a/crates/register/src/steward.rs
+++ b/crates/register/src/steward.rs
@@ -63,14 +63,19 @@
         }
     }
 
+    /// The own replica goes on under another identity.
+    pub fn take_identity(&mut self, identity: Identity) {
+        self.own.identity = identity;
+    }
+
     /// The node starts to listen: members that are never heard count as silent from here on.
     pub fn start(&mut self, now: Duration) {
         self.started = now;
     }
 
-    /// This coordinator is about to stop for good.
-    pub fn leave(&mut self) {
-        self.leaving = true;
+    /// Whether this coordinator gives its place up: it is about to stop for good, or can't vote any more.
+    pub fn set_leaving(&mut self, leaving: bool) {
+        self.leaving = leaving;
     }
 
     /// A message of a coordinator has arrived.
--- a/crates/register/src/steward/tests.rs
+++ b/crates/register/src/steward/tests.rs
@@ -3,6 +3,7 @@
 use assert_matches::assert_matches;
 
 use super::*;
+use crate::message::Past;
 
 const NOW: Duration = Duration::from_secs(10);
 
@@ -26,6 +27,7 @@
         zone: zone.to_owned(),
         leaving: false,
         silent: vec![Identity(3), Identity(4)],
+        past: Past::Changed,
     }
 }
 
--- a/crates/register/tests/encoding.rs
+++ b/crates/register/tests/encoding.rs
@@ -2,7 +2,9 @@
 
 use std::net::SocketAddr;
 
-use ironmast_register::message::{Announcement, Answer, Ask, Body, Digest, Echo, Reply, Report, Request};
+use ironmast_register::message::{
+    Announcement, Answer, Ask, Body, Digest, Echo, Past, Reply, Report, Request,
+};
 use ironmast_register::state::Proposal;
 use ironmast_register::{Ballot, Identity, Message, Record};
 
@@ -37,6 +39,7 @@
             zone: "a".to_owned(),
             leaving: true,
             silent: vec![Identity(5)],
+            past: Past::Initial,
         }),
         Body::Fetch { known: BALLOT },
         Body::State(proposal),
