Lines read ahead are counted many at once, and no further than it is asked

Cause: read_ahead.rs looked at each byte that came, also those of 60 MB bodies that nobody wants. Such a body is refused unread and thrown away for up to 1 s.

--- a/crates/transport/src/read_ahead.rs
+++ b/crates/transport/src/read_ahead.rs
@@ -100,8 +100,10 @@
     /// These bytes have been read.
     pub fn read(&self, bytes: &[u8]) {
         self.room.set(self.room.get().saturating_sub(bytes.len()));
-        let lines = bytes.iter().filter(|&&byte| byte == b'\n').count();
-        self.lines.set(self.lines.get() + lines);
+        // Nobody asks how many more there are. Guards the processor against long bodies.
+        if self.lines.get() < LINES_OF_QUEUE {
+            self.lines.set(self.lines.get() + lines_of(bytes));
+        }
         if self.in_hand.get() {
             self.behind.set(true);
         }
@@ -149,5 +151,11 @@
     }
 }
 
+/// How many lines end in these bytes. Sums of one byte each, so that many are taken at once.
+fn lines_of(bytes: &[u8]) -> usize {
+    let ends = |part: &[u8]| part.iter().map(|&byte| u8::from(byte == b'\n')).sum::<u8>();
+    bytes.chunks(usize::from(u8::MAX)).map(|part| usize::from(ends(part))).sum()
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/transport/src/read_ahead/tests.rs
+++ b/crates/transport/src/read_ahead/tests.rs
@@ -2,7 +2,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll, Wake, Waker};
 
-use super::{READ_AHEAD_MOST, ReadAhead};
+use super::{READ_AHEAD_MOST, ReadAhead, lines_of};
 
 /// Of the buffer that is read into, so many bytes are free at a time.
 const PART: usize = 8 * 1024;
@@ -170,3 +170,11 @@
     }
     assert_eq!(woken.times(), 0);
 }
+
+#[test]
+fn lines_are_counted_in_parts_of_any_length() {
+    for length in [0, 1, 254, 255, 256, 10_000] {
+        assert_eq!(lines_of(&vec![b'\n'; length]), length);
+        assert_eq!(lines_of(&vec![b'x'; length]), 0);
+    }
+}
