A request behind an answer that closes its connection is not handed on

Cause: actix-http goes through all requests it has queued, also behind an answer with `Connection: close` (a drain, a crowd, a flood, an error). Each of them was run, its answer lost on a client that rightly sends it again elsewhere: run twice, its class never asked (RFC 9112, 9.6: no further request may be processed). Change (crates/transport): such a request is not handed to the service; the connection ends when all before is written.

--- a/crates/transport/src/sockets.rs
+++ b/crates/transport/src/sockets.rs
@@ -179,6 +179,8 @@
     fn got(&self, _bytes: &[u8]) {}
     /// There are none to read at the moment.
     fn ran_dry(&self) {}
+    /// All that was to be written has been.
+    fn flushed(&self) {}
     /// The other side has closed.
     fn ended(&self) {}
 }
@@ -329,7 +331,11 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket.borrow_mut().stream).poll_flush(cx)
+        let polled = Pin::new(&mut self.socket.borrow_mut().stream).poll_flush(cx);
+        if polled.is_ready() {
+            self.observer.flushed();
+        }
+        polled
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
