--- a/crates/register/src/node.rs
+++ b/crates/register/src/node.rs
@@ -7,17 +7,20 @@
 
 use crate::acceptor::{Acceptor, Addressed, Record};
 use crate::ballot::{Ballot, Identity};
+use crate::contact::Contact;
 use crate::learner::Learner;
-use crate::message::{Announcement, Answer, Body, Digest, Message, Reply, Request};
+use crate::message::{Answer, Body, Message, Reply, Request};
 use crate::proposer::{Context, Counters, Effect, Proposer};
 use crate::random::Random;
-use crate::replicas::Replica;
+use crate::replicas::{Membership, Replica};
 use crate::settings::Settings;
 use crate::state::{Proposal, State};
 use crate::steward::Steward;
 
+mod announce;
 mod background;
 mod event;
+mod question;
 
 pub use event::{Action, Event, Origin, Place};
 
@@ -35,6 +38,7 @@
     peers: BTreeSet<SocketAddr>,
     leaving: bool,
     steward: Steward,
+    contact: Contact,
     background: background::Background,
     timer: Option<Duration>,
 }
@@ -55,6 +59,7 @@
         let replica =
             Replica { identity: acceptor.identity(), address: place.address, zone: place.zone.clone() };
         let steward = Steward::new(replica, &settings);
+        let contact = Contact::new(settings.contact, Random::new(!seed).next() >> 32);
         let proposer = Proposer::new(acceptor.identity(), used, random.next(), settings.clone());
         Self {
             place,
@@ -65,6 +70,7 @@
             peers: BTreeSet::new(),
             leaving: false,
             steward,
+            contact,
             background: background::Background::default(),
             timer: None,
             settings,
@@ -86,6 +92,26 @@
         self.chosen().is_some_and(|state| state.members.contains(self.identity()))
     }
 
+    /// When the newest question was asked that a majority of the replicas has answered; both majorities where two
+    /// sets are held. Nothing before the first such answers, or before any replica set is known.
+    pub fn contact_since(&self, now: Duration) -> Option<Duration> {
+        self.contact.since(now, self.identity(), self.members()?)
+    }
+
+    /// Whether a majority has answered a question asked within the bound of the settings.
+    pub fn is_in_contact(&self, now: Duration) -> bool {
+        self.members().is_some_and(|members| self.contact.is_held(now, self.identity(), members))
+    }
+
+    /// The newest state held, chosen or only accepted.
+    fn newest(&self) -> Option<&Proposal<V>> {
+        [self.learner.chosen(), self.acceptor.accepted()].into_iter().flatten().max_by_key(|held| held.ballot)
+    }
+
+    fn members(&self) -> Option<&Membership> {
+        self.newest().map(|held| &held.state.members)
+    }
+
     /// Counts of the proposer's rounds.
     pub fn counters(&self) -> Counters {
         self.proposer.counters()
@@ -93,6 +119,7 @@
 
     /// Takes in an event at the time `now` of a steady clock, and adds what is to be done to `actions`.
     pub fn handle(&mut self, now: Duration, event: Event<V>, actions: &mut Vec<Action<V>>) {
+        self.notice_pause(now);
         match event {
             Event::Message(message) => self.receive(now, message, actions),
             Event::Persisted(token) => {
@@ -103,11 +130,14 @@
             Event::PersistFailed(token) => {
                 if self.acceptor.persist_failed(token) {
                     actions.push(Action::StorageFailed);
+                    // Without a vote it is of no use as a member.
+                    self.leave(actions);
                 }
             }
             Event::Submit { id, operation, deadline } => self.proposer.submit(Some(id), operation, deadline),
             Event::Peers(addresses) => self.set_peers(addresses),
             Event::Leaving => self.leave(actions),
+            Event::Question => self.contact.hasten(),
             Event::Timer => self.timer = None,
         }
         self.tend(now, actions);
@@ -137,7 +167,7 @@
             }
             Body::Reply(reply) => self.take_reply(now, sender, address, reply, actions),
             Body::Announce(announcement) => {
-                self.steward.hear_of(sender, address, &announcement.zone, announcement.leaving);
+                self.steward.hear_of(sender, address, &announcement);
                 self.take_announcement(now, address, &announcement, actions);
             }
             Body::Fetch { known } => {
@@ -149,6 +179,8 @@
                 }
             }
             Body::State(proposal) => self.learn(&proposal, actions),
+            Body::Question { number } => self.send(address, Body::Echo(self.echo(number)), actions),
+            Body::Echo(echo) => self.take_echo(now, sender, address, echo, actions),
         }
     }
 
@@ -168,43 +200,6 @@
         self.carry_out(now, effects, actions);
     }
 
-    fn take_announcement(
-        &mut self,
-        now: Duration,
-        from: SocketAddr,
-        announcement: &Announcement,
-        actions: &mut Vec<Action<V>>,
-    ) {
-        let told = announcement.chosen;
-        let is_behind = told.map(|digest| digest.sequence) < self.learner.sequence();
-        if let Some(digest) = told {
-            self.take_digest(now, from, digest, actions);
-        }
-        if is_behind {
-            self.send(from, self.announcement(), actions);
-        }
-    }
-
-    fn take_digest(&mut self, now: Duration, from: SocketAddr, digest: Digest, actions: &mut Vec<Action<V>>) {
-        if self.learner.learn_ballot(digest.ballot, digest.sequence) {
-            return;
-        }
-        match self.acceptor.accepted().filter(|held| held.ballot == digest.ballot).cloned() {
-            Some(held) => self.learn(&held, actions),
-            None => self.fetch(now, from, digest.ballot, actions),
-        }
-    }
-
-    /// Asks for a chosen state, unless it is known or was asked for just now.
-    fn fetch(&mut self, now: Duration, from: SocketAddr, ballot: Ballot, actions: &mut Vec<Action<V>>) {
-        let is_known = self.learner.chosen().is_some_and(|chosen| chosen.ballot >= ballot);
-        if is_known || !self.background.may_fetch(now, ballot, self.settings.resend) {
-            return;
-        }
-        let known = self.learner.ballot();
-        self.send(from, Body::Fetch { known }, actions);
-    }
-
     fn learn(&mut self, proposal: &Proposal<V>, actions: &mut Vec<Action<V>>) {
         if self.learner.learn(proposal).is_some() {
             actions.push(Action::Learned(Arc::clone(&proposal.state)));
@@ -279,25 +274,13 @@
         self.carry_out(now, effects, actions);
     }
 
-    fn announcement(&self) -> Body<V> {
-        let digest =
-            |proposal: &Proposal<V>| Digest { ballot: proposal.ballot, sequence: proposal.state.sequence };
-        Body::Announce(Announcement {
-            chosen: self.learner.chosen().map(digest),
-            zone: self.place.zone.clone(),
-            leaving: self.leaving,
-        })
-    }
-
-    /// Tells all coordinators known what is chosen here.
-    fn announce(&self, actions: &mut Vec<Action<V>>) {
-        let members = self.chosen().into_iter().flat_map(|state| state.members.replicas());
+    /// Addresses of all other coordinators known, members or not.
+    fn others(&self) -> BTreeSet<SocketAddr> {
+        let members = self.members().into_iter().flat_map(Membership::replicas);
         let mut addresses = self.peers.clone();
         addresses.extend(members.map(|replica| replica.address));
         addresses.remove(&self.place.address);
-        for address in addresses {
-            self.send(address, self.announcement(), actions);
-        }
+        addresses
     }
 
     fn send(&self, to: SocketAddr, body: Body<V>, actions: &mut Vec<Action<V>>) {
@@ -312,7 +295,7 @@
     }
 
     fn set_timer(&mut self, now: Duration, actions: &mut Vec<Action<V>>) {
-        let due = self.proposer.wake().into_iter().chain([self.background.wake()]).min();
+        let due = self.proposer.wake().into_iter().chain([self.background.wake(), self.contact.wake()]).min();
         let due = due.map(|at| at.max(now));
         if due != self.timer {
             self.timer = due;
