--- a/crates/coordinator/src/state/tests/site.rs
+++ b/crates/coordinator/src/state/tests/site.rs
@@ -16,6 +16,7 @@
 use crate::clock::Clock;
 use crate::disk::Persisted;
 use crate::replica::Replica;
+use crate::resolve::Query;
 use crate::state::{Command, Relay, Reply, State};
 
 const STEP: Duration = Duration::from_millis(10);
@@ -307,8 +308,8 @@
 }
 
 pub fn resolve(region: &str) -> impl FnOnce(oneshot::Sender<Reply>) -> Command {
-    let region = region.to_string();
-    move |to| Command::Resolve(region, "z".to_string(), to)
+    let query = Query { region: region.to_string(), zone: "z".to_string(), ..Query::default() };
+    move |to| Command::Resolve(query, to)
 }
 
 pub fn evacuate(zone: &str) -> impl FnOnce(oneshot::Sender<Reply>) -> Command {
