overlay: without any majority, agents don't all look for one at once

Change: where the source is out of contact, the agents that keep a link out of their region anyway look for another at once and then each 5 s; the others leave it to them for 10 s, and then look each minute.

--- a/crates/overlay/src/overlay/tree.rs
+++ b/crates/overlay/src/overlay/tree.rs
@@ -25,8 +25,14 @@
 /// Interval between attempts of an agent that is fed by nobody to be fed from another region.
 const LEAVE_AGAIN: Duration = Duration::from_millis(500);
 
-/// The same of an agent whose source is not in contact with a majority.
-const LEAVE_AGAIN_FED: Duration = Duration::from_secs(2);
+/// The same of an agent whose source is not in contact with a majority, if it keeps a link out of its region anyway.
+const LEAVE_AGAIN_FED: Duration = Duration::from_secs(5);
+
+/// The same of one that need not: others of its region look for a better source, from which it is then fed.
+const LEAVE_AGAIN_SPARED: Duration = Duration::from_secs(60);
+
+/// How long such a one leaves it to the others at first.
+const LEAVE_SPARED: Duration = Duration::from_secs(10);
 
 /// Coordinators a connection is opened to in one attempt.
 const OPENED_AT_ONCE: usize = 2;
@@ -120,7 +126,8 @@
 
     /// Whether an agent without a source may take one from another region. Agents of a region do so in the order of
     /// their scores; the deputy of the lost source at once; an agent whose source lives but has none itself, late. A
-    /// source that is out of contact with the majority counts as lost.
+    /// source that is out of contact with the majority counts as lost, but only those that keep a link out of the region
+    /// turn away from it at once.
     pub(super) fn may_leave_region(&self, now: Duration) -> bool {
         self.leave_region_at(now).is_some_and(|at| at <= now)
     }
@@ -140,7 +147,13 @@
         let better = alive_links.filter_map(|link| link.node).filter(|node| self.precedes(node)).count();
         let wait = self.settings.leave_region
             + self.settings.leave_region_step * u32::try_from(better).unwrap_or(u32::MAX);
-        Some(since + wait + if alive { self.settings.dead } else { Duration::ZERO })
+        let spared = self.feed.position.is_attached() && !self.needs_standby();
+        let longer = match (alive, spared) {
+            (true, _) => self.settings.dead,
+            (false, true) => LEAVE_SPARED,
+            (false, false) => Duration::ZERO,
+        };
+        Some(since + wait + longer)
     }
 
     /// Whether `node` is an agent of this region with a better score.
@@ -149,7 +162,11 @@
     }
 
     fn leave_again(&self) -> Duration {
-        if self.feed.position.is_attached() { LEAVE_AGAIN_FED } else { LEAVE_AGAIN }
+        match (self.feed.position.is_attached(), self.needs_standby()) {
+            (false, _) => LEAVE_AGAIN,
+            (true, true) => LEAVE_AGAIN_FED,
+            (true, false) => LEAVE_AGAIN_SPARED,
+        }
     }
 
     /// Opens connections to coordinators anywhere, and from the second attempt on to an agent of another region too, as
--- a/crates/overlay/tests/overlay/contact.rs
+++ b/crates/overlay/tests/overlay/contact.rs
@@ -526,3 +526,35 @@
     println!("p99 {usual:?}, not relayed {lazy:?}");
     assert!(usual < ms(500) && lazy > ms(800));
 }
+
+/// Bytes between regions in these seconds.
+fn far_bytes(sim: &mut Sim, seconds: u64) -> u64 {
+    let total = |sim: &Sim| sim.nodes.iter().map(|node| node.sent.far_bytes).sum::<u64>();
+    let before = total(sim);
+    sim.run_for(ms(seconds * 1_000));
+    total(sim) - before
+}
+
+#[test]
+fn a_large_deployment_without_any_majority_stays_calm_and_carries_entries() {
+    const SECONDS: u64 = 20;
+    let mut sim = Sim::start(LARGE, Settings::default(), 1);
+    sim.run_for(ms(8_000));
+    let calm = far_bytes(&mut sim, SECONDS);
+    let core = |from: &Descriptor, to: &Descriptor| from.is_coordinator() && to.is_coordinator();
+    sim.cut_with(Across::Held, core);
+    (0..LARGE.coordinators).for_each(|node| sim.give(node, Event::InContact(false)));
+    let alone = far_bytes(&mut sim, SECONDS);
+    println!("bytes between regions in {SECONDS} s: {calm}, without a majority {alone}");
+    let mut worst = Duration::ZERO;
+    for version in 1..=10 {
+        let at = sim.publish(version as usize % LARGE.coordinators, KEY, version, SIZE);
+        sim.run_for(ms(1_500));
+        let arrivals = &sim.arrivals[&(KEY, version)];
+        worst = worst.max(*arrivals.values().max().expect("its publisher") - at);
+        assert_eq!(arrivals.len(), LARGE.len(), "version {version}");
+    }
+    println!("without a majority a change takes {worst:?} at worst");
+    assert!(alone < 4 * calm);
+    assert_eq!(sim.unfed(), 0);
+}
