Tests: the gate's ports are held, and an early answer that is no rejection

Cause: a port that had been let go before the gate listened was taken by another process's play now and then (seen as 'Address already in use', and once as another gate's 404, with five processes at once). The ports are now bound for the whole play, as those of the program in service are. An early 200 is played too: the rule for rejections of long requests covered an early 503 and hid the removal of the guard that spends the connection.

--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -5,6 +5,7 @@
 mod server;
 
 use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
@@ -63,6 +64,8 @@
     sender: Sender<ToGate>,
     terminate: Rc<Notify>,
     served: actix_rt::task::JoinHandle<()>,
+    /// Holds the ports: nobody but the gate may have them.
+    _ports: [OwnedFd; 2],
 }
 
 impl Stage {
@@ -88,7 +91,8 @@
     pub async fn start_without_configuration() -> Self {
         let agent = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
         let port = agent.local_addr().expect("bound").port();
-        let (frontend, readiness) = (free_address().await, free_address().await);
+        let [(frontend, frontend_port), (readiness, readiness_port)] =
+            [(); 2].map(|()| ironmast_stage::stage::place().expect("a port is free"));
         let text = format!(
             "node_name: n\nip_address: 127.0.0.1\nzone: {HERE}\nregion: north\n\
              zones: {{{HERE}: north, {ELSEWHERE}: south}}\ninternal_port_range: [{}, {}]\n\
@@ -107,7 +111,8 @@
         });
         let (stream, _) = agent.accept().await.expect("the gate calls its agent");
         let (receiver, sender) = link::split(stream).expect("a link");
-        Stage { frontend, readiness, receiver, sender, terminate, served }
+        let ports = [frontend_port, readiness_port];
+        Stage { frontend, readiness, receiver, sender, terminate, served, _ports: ports }
     }
 
     /// News of the agent.
@@ -156,11 +161,6 @@
     Entry { key: Key::Instance(id.to_string()), version, value: Value::Instance(record) }
 }
 
-async fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
-    listener.local_addr().expect("bound")
-}
-
 /// An event of a stream.
 pub fn event(id: u64) -> String {
     format!("id: {id}\ndata: piece {id}\n\n")
--- a/crates/transport/tests/pass_through.rs
+++ b/crates/transport/tests/pass_through.rs
@@ -251,20 +251,22 @@
 #[test]
 fn an_answer_before_the_request_is_written_is_heard() {
     play(async {
-        for closes in [false, true] {
+        let cases =
+            [("503 Service Unavailable", false), ("503 Service Unavailable", true), ("200 OK", false)];
+        for (status, closes) in cases {
             let stage = Stage::start().await;
             let state = attempt(passing());
             let serve = async {
                 let mut peer = stage.accept().await;
                 peer.request().await;
-                let rejected = "HTTP/1.1 503 Service Unavailable\r\nX-Ironmast-Not-Executed: 1\r\n";
+                let rejected = format!("HTTP/1.1 {status}\r\nX-Ironmast-Not-Executed: 1\r\n");
                 peer.write(&format!("{rejected}X-Ironmast-Request-Id: {ID}\r\n{SIZED}\r\nhelloworld")).await;
                 (!closes).then_some(peer)
             };
             let body = bytes::Bytes::from(vec![0; 8 << 20]);
             let (answer, peer) = futures_util::future::join(stage.send(&state, body), serve).await;
             let mut answer = answer.expect("an answer");
-            assert_eq!(answer.status(), 503);
+            assert!(status.starts_with(answer.status().as_str()));
             assert!(answer.headers().contains_key("X-Ironmast-Not-Executed"));
             assert_eq!(whole(&mut answer).await, "helloworld");
             if let Some(mut peer) = peer {
