--- a/crates/gate/tests/pages.rs
+++ b/crates/gate/tests/pages.rs
@@ -260,6 +260,28 @@
     });
 }
 
+#[test]
+fn a_gate_whose_agent_is_away_goes_by_its_last_configuration() {
+    play(async {
+        let mut server = Server::start("i-1").await;
+        let stage = Stage::start(&[(&server, HERE)]).await;
+        let (frontend, readiness) = (stage.frontend, stage.readiness);
+        // The link closes and nobody listens any more; the gate itself goes on.
+        drop(stage);
+        for id in ["r1", "r2"] {
+            let mut client = Client::connect(frontend).await;
+            client.ask("/none/a", id, "").await;
+            assert!(client.answer().await.0.starts_with("http/1.1 404"));
+            client.ask("/unsafe/a", id, "").await;
+            server.asked().await.answer("200 OK", "Connection: close\r\n", id).await;
+            assert_eq!(client.answer().await.1, id);
+            let mut checks = Client::connect(readiness).await;
+            checks.write("GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n").await;
+            assert!(checks.answer().await.0.starts_with("http/1.1 200"));
+        }
+    });
+}
+
 #[test]
 fn a_terminated_gate_is_not_ready_from_the_next_question_on() {
     play(async {
