--- a/crates/gate/tests/pages.rs
+++ b/crates/gate/tests/pages.rs
@@ -31,8 +31,11 @@
     Entry { key: Key::Control, version: 2, value: Value::Control(control) }
 }
 
-fn handed(asked: &support::Asked) -> u64 {
-    asked.header("x-ironmast-deadline-ms").expect("a deadline").parse().expect("a number")
+const DEADLINE: &str = "x-ironmast-deadline-ms";
+
+/// The time that a server was handed, in ms.
+fn handed(deadline: Option<&str>) -> u64 {
+    deadline.expect("a deadline").parse().expect("a number")
 }
 
 #[test]
@@ -46,11 +49,11 @@
             let asked_at = Instant::now();
             client.ask(target, "r1", "").await;
             let asked = first.asked().await;
-            let to_first = handed(&asked);
+            let to_first = handed(asked.header(DEADLINE));
             assert!(to_first > DEADLINE_MS / 2 && to_first < DEADLINE_MS, "{to_first}");
             drop(asked);
             let mut asked = second.asked().await;
-            let to_second = handed(&asked);
+            let to_second = handed(asked.header(DEADLINE));
             assert!(to_second <= to_first, "{to_second} after {to_first}");
             assert!(Duration::from_millis(DEADLINE_MS - to_second) < asked_at.elapsed() + LATE_MOST);
             asked.answer("200 OK", "Content-Type: text/plain\r\n", "answer").await;
@@ -67,7 +70,7 @@
         let mut client = stage.client().await;
         client.write("GET /safe/a HTTP/1.1\r\nHost: a.example\r\nX-Ironmast-Request-Id: r1\r\n\r\n").await;
         let asked = server.asked().await;
-        let to_server = handed(&asked);
+        let to_server = handed(asked.header(DEADLINE));
         assert!(to_server > DEADLINE_MS / 2 && to_server < DEADLINE_MS, "{to_server}");
     });
 }
@@ -257,6 +260,28 @@
     });
 }
 
+#[test]
+fn a_gate_whose_agent_is_away_goes_by_its_last_configuration() {
+    play(async {
+        let mut server = Server::start("i-1").await;
+        let stage = Stage::start(&[(&server, HERE)]).await;
+        let (frontend, readiness) = (stage.frontend, stage.readiness);
+        // The link closes and nobody listens any more; the gate itself goes on.
+        drop(stage);
+        for id in ["r1", "r2"] {
+            let mut client = Client::connect(frontend).await;
+            client.ask("/none/a", id, "").await;
+            assert!(client.answer().await.0.starts_with("http/1.1 404"));
+            client.ask("/unsafe/a", id, "").await;
+            server.asked().await.answer("200 OK", "Connection: close\r\n", id).await;
+            assert_eq!(client.answer().await.1, id);
+            let mut checks = Client::connect(readiness).await;
+            checks.write("GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n").await;
+            assert!(checks.answer().await.0.starts_with("http/1.1 200"));
+        }
+    });
+}
+
 #[test]
 fn a_terminated_gate_is_not_ready_from_the_next_question_on() {
     play(async {
