--- a/crates/lab/src/days.rs
+++ b/crates/lab/src/days.rs
@@ -9,6 +9,7 @@
 
 use std::collections::BTreeMap;
 use std::fs::{self, File};
+use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitCode, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -103,7 +104,8 @@
     let work = || {
         while let Some(play) = plays.get(next.fetch_add(1, Ordering::Relaxed)) {
             play_one(days, play)?;
-            eprintln!("{}", line(play, &read(play, &days.out)));
+            // Progress that can't be shown, as on a full disk, is no reason to end the plays.
+            let _ = writeln!(io::stderr(), "{}", line(play, &read(play, &days.out)));
         }
         Ok(())
     };
@@ -117,7 +119,7 @@
 fn play_one(days: &Days, play: &Play) -> Result<(), String> {
     let kept = play.kept(&days.out);
     let partial = kept.with_extension("part");
-    let told = |e: std::io::Error| format!("{}: {e}", partial.display());
+    let told = |e: io::Error| format!("{}: {e}", partial.display());
     // Several threads may make the same folder at once, so nothing is tried out in it.
     fs::create_dir_all(kept.parent().expect("it is in a folder")).map_err(told)?;
     let output = File::create(&partial).map_err(told)?;
--- a/crates/lab/tests/commands.rs
+++ b/crates/lab/tests/commands.rs
@@ -187,6 +187,34 @@
     assert_eq!(calls().len(), 3);
 }
 
+#[cfg(target_os = "linux")]
+#[test]
+fn days_are_played_although_their_progress_cannot_be_written() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let bench = stand_in_bench(folder.path());
+    let out = folder.path().join("out").to_string_lossy().into_owned();
+    let full = std::fs::OpenOptions::new().write(true).open("/dev/full").expect("a device");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ironmast-lab"));
+    command.args([
+        "days",
+        "cut.toml",
+        "--why",
+        "a test",
+        "--out",
+        &out,
+        "--bench",
+        &bench,
+        "--site",
+        "small.toml",
+    ]);
+    let played = command.args(["--first-seed", "3", "--seeds", "4"]).stderr(full).output().expect("it runs");
+    assert_eq!(played.status.code(), Some(0), "{played:?}");
+    assert!(
+        text(&played.stdout).ends_with("cut  small      4       0      0          0       0.800\n"),
+        "{played:?}"
+    );
+}
+
 #[test]
 fn a_bench_that_is_not_there_is_told() {
     let folder = tempfile::tempdir().expect("a folder");
