--- a/crates/register/tests/support/day.rs
+++ b/crates/register/tests/support/day.rs
@@ -5,6 +5,7 @@
 use ironmast_register::{OperationId, Outcome, Settings};
 
 use super::checks::Violation;
+use super::redundancy::is_redundant;
 use super::value::Change;
 use super::world::{CALM, Weather, World};
 
@@ -14,6 +15,9 @@
 const STEP: Duration = Duration::from_millis(40);
 const LIMIT: Duration = Duration::from_secs(3);
 
+/// With up to this percentage of messages lost, a lost disk is made up for within [`CATCH_UP`].
+const LOSS_IN_TIME: u64 = 20;
+
 /// What may happen in a day.
 #[derive(Clone, Debug)]
 pub struct Plan {
@@ -40,7 +44,7 @@
     /// A day of short faults that follow closely, on a network that loses much.
     pub fn rough(members: usize) -> Self {
         let length = Duration::from_secs(10);
-        Self { members, spares: 4, length, losses: 5, loss: 20, outage: 120, gap: 60 }
+        Self { members, spares: 4, length, losses: 5, loss: 45, outage: 120, gap: 60 }
     }
 
     /// A day on which mostly disks are lost, on a network that loses much.
@@ -251,7 +255,7 @@
             return;
         }
         let is_loss = self.world.random.chance(self.plan.losses);
-        if is_loss && self.open.is_empty() {
+        if is_loss && self.open.is_empty() && self.bears_a_loss() {
             let lasts = self.lose_disk();
             self.next_fault = self.world.now + lasts + CATCH_UP;
             return;
@@ -263,6 +267,12 @@
             self.world.now + gap + pause + if pause == CATCH_UP { lasts } else { Duration::ZERO };
     }
 
+    /// Whether a disk may be lost: the time since the last one is enough for its repair, unless so many messages are
+    /// lost that the repair may still be under way.
+    fn bears_a_loss(&self) -> bool {
+        self.world.weather.loss <= LOSS_IN_TIME || is_redundant(&self.world, self.plan.members)
+    }
+
     /// Empties a disk or takes its machine away; returns how long until the machine or its successor is back.
     fn lose_disk(&mut self) -> Duration {
         let hosts: Vec<usize> = self.world.up().collect();
