--- a/crates/coordinator/src/disk.rs
+++ b/crates/coordinator/src/disk.rs
@@ -109,3 +109,6 @@
         self.writer.submit(Durable(record), token);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/coordinator/src/disk/tests.rs
@@ -0,0 +1,55 @@
+//! Tests of what is found in a folder at the start.
+
+use std::fs;
+use std::path::PathBuf;
+
+use assert_matches::assert_matches;
+use ironmast_register::Identity;
+use slog::{Discard, o};
+
+use super::*;
+
+const DISK: u64 = 8;
+
+fn open(folder: &Path) -> (Journal, Found, mpsc::UnboundedReceiver<Persisted>) {
+    Journal::open(folder, DISK, &Logger::root(Discard, o!())).expect("open")
+}
+
+/// Opens the folder, and writes a record durably.
+fn write(folder: &Path, identity: u64) {
+    let (journal, _, mut completions) = open(folder);
+    journal.write(Record::empty(Identity(identity)), 1);
+    let completion = completions.blocking_recv().expect("a completion");
+    assert_eq!((completion.token, completion.result), (1, Ok(())));
+}
+
+fn files(folder: &Path, ending: &str) -> Vec<PathBuf> {
+    let entries = fs::read_dir(folder).expect("folder").map(|entry| entry.expect("entry").path());
+    entries.filter(|path| path.extension().is_some_and(|extension| extension == ending)).collect()
+}
+
+#[test]
+fn a_record_that_was_written_is_found_durable() {
+    let folder = tempfile::tempdir().expect("folder");
+    assert_matches!(open(folder.path()).1, Found::Nothing);
+    write(folder.path(), 5);
+    assert_matches!(open(folder.path()).1, Found::Durable(record) if record.identity == Identity(5));
+}
+
+/// Nor does the next start take the folder for one that never held anything.
+#[test]
+fn a_damaged_record_is_kept_under_another_name_and_never_forgotten() {
+    let folder = tempfile::tempdir().expect("folder");
+    write(folder.path(), 5);
+    let segment = files(folder.path(), "segment").remove(0);
+    let mut bytes = fs::read(&segment).expect("read");
+    bytes[30] ^= 1;
+    fs::write(&segment, &bytes).expect("written");
+    assert_matches!(open(folder.path()).1, Found::Damage);
+    let kept = files(folder.path(), "damaged");
+    assert_eq!(kept.len(), 1);
+    assert_eq!(fs::read(&kept[0]).expect("read"), bytes);
+    assert_matches!(open(folder.path()).1, Found::Damage, "before anything else was written");
+    write(folder.path(), 6);
+    assert_matches!(open(folder.path()).1, Found::Durable(record) if record.identity == Identity(6));
+}
