--- a/crates/coordinator/benches/start.rs
+++ b/crates/coordinator/benches/start.rs
@@ -12,9 +12,9 @@
 use std::time::{Duration, Instant};
 
 use ironmast_register::state::Proposal;
-use ironmast_register::{Ballot, Identity, Record};
+use ironmast_register::{Ballot, Decision, Identity, Record, Transition as _};
 use ironmast_storage::{Disk, Log, LogSettings, RealDisk, Recovered};
-use value::{Control, body};
+use value::{Control, Put};
 
 /// Bytes of a configuration of 350 routes.
 const ROUTES_350: usize = 100_000;
@@ -40,7 +40,9 @@
     log.append(record).expect("append");
     log.sync().expect("sync");
     let accepted = record.accepted.as_ref().expect("initial").state.clone();
-    let value = Control { generation, body: body(generation, ROUTES_350) };
+    let Decision::Write(value) = (Put { generation, bytes: ROUTES_350 }).apply(&accepted.value) else {
+        panic!("{generation} doesn't follow");
+    };
     let state = Arc::new(accepted.successor(ballot, accepted.members.clone(), Arc::new(value)));
     record.accepted = Some(Proposal { ballot, state });
     log.append(record).expect("append");
--- a/crates/storage/src/log/tests/damage.rs
+++ b/crates/storage/src/log/tests/damage.rs
@@ -98,7 +98,10 @@
     let bytes = disk.read(&names::segment(LOG, 1)).expect("read");
     let kept = Log::<u64>::set_aside(disk.as_ref(), &settings()).expect("set aside").expect("kept");
     assert_eq!(disk.read(&kept).expect("read"), bytes);
-    assert_eq!(Log::<u64>::files_set_aside(disk.as_ref(), &settings()).expect("list"), [kept.clone()]);
+    assert_eq!(
+        Log::<u64>::files_set_aside(disk.as_ref(), &settings()).expect("list"),
+        std::slice::from_ref(&kept)
+    );
     let (mut log, found) = open(&disk).expect("open");
     assert_eq!(found, Recovered::Empty);
     log.reopen(&3).expect("reopen");
