--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -264,6 +264,7 @@
                 self.write = Some((write.token, write.record));
             }
             Action::Completed { id, outcome } => return self.completed(id, outcome),
+            Action::StorageFailed => warn!(self.log, "this replica gives no vote any more"),
             Action::DiskWasLost => warn!(
                 self.log,
                 "the settings say that the system starts for the first time, but \
--- a/crates/register/src/acceptor.rs
+++ b/crates/register/src/acceptor.rs
@@ -79,6 +79,7 @@
     last_token: PersistToken,
     /// Whether the first record isn't durable yet: until then nothing is answered.
     mute: bool,
+    failed: bool,
     guards: Guards,
 }
 
@@ -94,6 +95,7 @@
             covered: Vec::new(),
             last_token: 0,
             mute: false,
+            failed: false,
             guards,
         }
     }
@@ -136,6 +138,11 @@
         self.record.reserved
     }
 
+    /// Whether a write has failed for good; the acceptor then gives no vote until it is recovered from its disk.
+    pub fn has_failed(&self) -> bool {
+        self.failed
+    }
+
     /// Whether nothing is answered yet, since the first record isn't durable.
     pub fn is_mute(&self) -> bool {
         self.mute
@@ -167,7 +174,7 @@
         request: Request<V>,
         chosen: Option<&Proposal<V>>,
     ) -> Option<Addressed<V>> {
-        if self.mute {
+        if self.mute || self.failed {
             return None;
         }
         let round = request.round;
@@ -187,7 +194,7 @@
 
     /// The next write, if one is due; at most one is under way.
     pub fn next_write(&mut self) -> Option<Write<V>> {
-        if self.writing.is_some() {
+        if self.failed || self.writing.is_some() {
             return None;
         }
         if !self.dirty && self.waiting.is_empty() {
@@ -218,6 +225,17 @@
         }
     }
 
+    /// A write has failed and is not tried again. What reached the disk is unknown, so no vote is given any more.
+    pub fn persist_failed(&mut self, token: PersistToken) -> bool {
+        if self.writing.take_if(|write| write.token == token).is_none() {
+            return false;
+        }
+        self.failed = true;
+        self.covered.clear();
+        self.waiting.clear();
+        true
+    }
+
     /// The answer, and whether it may be sent before the next write.
     fn answer(&mut self, request: Request<V>, chosen: Option<&Proposal<V>>) -> (Answer<V>, bool) {
         let chosen_ballot = chosen.map_or(Ballot::ZERO, |proposal| proposal.ballot);
--- a/crates/register/src/acceptor/tests.rs
+++ b/crates/register/src/acceptor/tests.rs
@@ -123,6 +123,18 @@
     assert_matches!(refused.reply.answer, Answer::NotMember { chosen } if chosen == ballot(9));
 }
 
+#[test]
+fn after_a_failed_write_there_is_no_vote() {
+    let mut acceptor = member();
+    acceptor.request(ASKER, prepare(&acceptor, 3), None);
+    let write = acceptor.next_write().expect("a write");
+    assert!(acceptor.persist_failed(write.token));
+    assert!(acceptor.has_failed());
+    assert_eq!(acceptor.persisted(write.token), []);
+    assert_eq!(acceptor.request(ASKER, prepare(&acceptor, 4), None), None);
+    assert_eq!(acceptor.next_write(), None);
+}
+
 #[test]
 fn until_a_write_is_durable_there_is_no_vote_and_no_other_write() {
     let mut acceptor = member();
--- a/crates/register/src/node/event.rs
+++ b/crates/register/src/node/event.rs
@@ -17,6 +17,8 @@
     Message(Message<V>),
     /// The write of that token is durable.
     Persisted(PersistToken),
+    /// The write of that token has failed and is not tried again.
+    PersistFailed(PersistToken),
     /// An operation is asked for.
     Submit {
         /// The caller's number of it.
@@ -50,8 +52,8 @@
     /// Make the record durable in place of the one before, then report [`Event::Persisted`]. One write is under way at
     /// a time.
     ///
-    /// A write or sync that fails is not reported: the caller writes the whole record again, to another file, until
-    /// that is durable. Until then the replica votes for nothing new. That is safe since a failed write is like one
+    /// After a write or sync that fails the caller may write the whole record again, to another file, until that is
+    /// durable, and report nothing before; or it reports [`Event::PersistFailed`]. While it tries the replica votes for nothing new. That is safe since a failed write is like one
     /// that a crash interrupts: the record may be found on the disk later or not, and no reply rests on it.
     Persist(Write<V>),
     /// An operation has ended.
@@ -64,6 +66,8 @@
     /// A newer state is known as chosen. The first one of a life was read from a majority, so that none is older than
     /// what an earlier life has acknowledged.
     Learned(Arc<State<V>>),
+    /// A write has failed for good: this replica gives no vote until the process starts anew.
+    StorageFailed,
     /// The settings say that the whole system starts for the first time, but another coordinator knows more: this
     /// replica's disk was lost, and it takes another identity.
     DiskWasLost,
--- a/crates/register/tests/support/mod.rs
+++ b/crates/register/tests/support/mod.rs
@@ -5,5 +5,6 @@
 pub mod day;
 pub mod first_start;
 pub mod random;
+pub mod redundancy;
 pub mod value;
 pub mod world;
