register: an initial member votes only once a majority has become members

The first order could come before the other two had settled that it was the first start: the first to settle reserved its ballots, told that it knew more, and the others each took another identity: no majority was left. Five of nine tests of real coordinators waited 60 s in vain (system_control, all at once).

--- a/crates/register/src/first_start.rs
+++ b/crates/register/src/first_start.rs
@@ -13,11 +13,14 @@
 //!   when they were first heard, the system starts with machines missing. This is believed only after a while. Else it
 //!   waits: the one that is missing may be the only other that knows a decision.
 //!
+//! A replica that has become a member votes only once a majority with it has: its votes would tell the others that the
+//! system had started before them, and each of them would take another identity.
+//!
 //! What remains unprotected: a loss of the disks of a majority, which loses the decisions themselves; and a promise to a
 //! coordinator that is no initial member, given and lost with the disk before that coordinator's request reached any
 //! other member of a system that has never been changed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -49,12 +52,26 @@
     /// Of each initial member, its past when it was first heard.
     heard: BTreeMap<SocketAddr, Past>,
     is_later: bool,
+    /// Other initial members that were heard to be members.
+    members_heard: BTreeSet<SocketAddr>,
+    /// Whether this replica has become a member.
+    pub(crate) is_member: bool,
     since: Option<Duration>,
 }
 
 impl<V> FirstStart<V> {
     pub(crate) fn new(own: SocketAddr, members: Vec<SocketAddr>, value: V, patience: Duration) -> Self {
-        Self { own, members, value, patience, heard: BTreeMap::new(), is_later: false, since: None }
+        Self {
+            own,
+            members,
+            value,
+            patience,
+            heard: BTreeMap::new(),
+            is_later: false,
+            members_heard: BTreeSet::new(),
+            is_member: false,
+            since: None,
+        }
     }
 
     /// Addresses of the initial members, which are asked.
@@ -69,6 +86,9 @@
         let is_member = address != self.own && self.members.contains(&address);
         if is_member && sender == Identity::of_seed(address) {
             self.heard.entry(address).or_insert(past);
+            if past != Past::Blank {
+                self.members_heard.insert(address);
+            }
         }
     }
 
@@ -85,8 +105,16 @@
         }
     }
 
+    /// Whether a majority of the initial members, with this one, are members.
+    pub(crate) fn has_majority(&self) -> bool {
+        self.is_member && self.members_heard.len() >= self.members.len() / 2
+    }
+
     /// The record of an initial member.
-    pub(crate) fn into_record(self) -> Record<V> {
-        Record::bootstrap(self.own, &self.members, self.value)
+    pub(crate) fn record(&self) -> Record<V>
+    where
+        V: Clone,
+    {
+        Record::bootstrap(self.own, &self.members, self.value.clone())
     }
 }
--- a/crates/register/src/node.rs
+++ b/crates/register/src/node.rs
@@ -241,7 +241,7 @@
             let mut effects = Vec::new();
             let context = Context {
                 chosen: self.learner.chosen().filter(|_| self.first_start.is_none()),
-                accepted: self.acceptor.accepted(),
+                accepted: self.acceptor.accepted().filter(|_| self.first_start.is_none()),
                 reserved: self.acceptor.reserved(),
                 promised: self.acceptor.promised(),
             };
--- a/crates/register/src/node/bootstrap.rs
+++ b/crates/register/src/node/bootstrap.rs
@@ -30,24 +30,36 @@
 
     /// Goes on as what the others' pasts show this node to be, once they do.
     pub(super) fn conclude_first_start(&mut self, now: Duration, actions: &mut Vec<Action<V>>) {
-        let verdict = self.first_start.as_mut().map(|first_start| first_start.verdict(now));
-        let identity = match verdict {
-            None | Some(Verdict::Open) => return,
-            Some(Verdict::First) => None,
-            Some(Verdict::Later) => Some(Identity(self.random.next())),
-        };
-        let Some(first_start) = self.first_start.take() else { return };
-        let record = match identity {
-            None => first_start.into_record(),
-            Some(identity) => Record::empty(identity),
-        };
-        if let Some(identity) = identity {
-            self.proposer.take_identity(identity);
-            self.steward.take_identity(identity);
-            actions.push(Action::DiskWasLost);
+        let Some(first_start) = &mut self.first_start else { return };
+        if first_start.is_member {
+            if first_start.has_majority() {
+                self.first_start = None;
+                self.read(now);
+            }
+            return;
         }
+        let record = match first_start.verdict(now) {
+            Verdict::Open => return,
+            Verdict::First => {
+                first_start.is_member = true;
+                first_start.record()
+            }
+            Verdict::Later => {
+                self.first_start = None;
+                Record::empty(self.begin_anew(actions))
+            }
+        };
         self.acceptor = Acceptor::fresh(record, self.settings.guards);
         self.background.announce_at = now;
         self.read(now);
     }
+
+    /// Takes another identity.
+    fn begin_anew(&mut self, actions: &mut Vec<Action<V>>) -> Identity {
+        let identity = Identity(self.random.next());
+        self.proposer.take_identity(identity);
+        self.steward.take_identity(identity);
+        actions.push(Action::DiskWasLost);
+        identity
+    }
 }
