--- a/crates/register/tests/restart.rs
+++ b/crates/register/tests/restart.rs
@@ -48,3 +48,28 @@
     let (alone, _) = told_after_restart(Guards::without(Guard::ReadBeforeTold));
     assert!(alone.contains(&0), "{alone:?}");
 }
+
+/// Host 0 hears the others before they hear it, and has an order at once: it must not vote before they are members.
+#[test]
+fn an_order_at_the_very_first_moment_leaves_all_initial_members_members() {
+    for seed in 0..40 {
+        let mut world = World::new(seed, 3, 0, Settings::default());
+        world.run(LIMIT);
+        for host in 0..3 {
+            world.wipe(host);
+        }
+        // What an earlier life has sent arrives before.
+        world.run(LIMIT);
+        world.cuts = [(0, 1), (0, 2)].into();
+        for host in 0..3 {
+            world.start_first(host);
+        }
+        world.submit(0, Some(Change::Mark { mark: 1 }), LIMIT);
+        world.run(Duration::from_millis(100 + 10 * seed));
+        world.cuts.clear();
+        world.run(LIMIT);
+        world.expect_progress(LIMIT);
+        world.checks.finish();
+        assert_eq!(world.checks.violations, [], "seed {seed}");
+    }
+}
