coordinator: contact and servers' reports have modules of their own in the state

state/contact.rs holds the changes of the standing and what the feed says of it, state/servers.rs heartbeats, departures and their confirmation. Behaviour is unchanged; state/tests.rs is as it was.

--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -9,18 +9,21 @@
 use ironmast_register::{Operation, State as RegisterState};
 use ironmast_schema::configuration::Configuration;
 use ironmast_schema::control::{ControlState, Entry, FromCoordinator, Key, ToCoordinator, Value};
-use ironmast_schema::registration::{Heartbeat, InstanceState};
+use ironmast_schema::registration::Heartbeat;
 use ironmast_schema::settings::Settings;
-use slog::{Logger, info, warn};
+use slog::Logger;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::confirm::Confirmations;
 use crate::disk::Persisted;
-use crate::replica::{Effect, Kind, Replica, withheld};
+use crate::replica::{Effect, Replica};
 use crate::resolve;
 use crate::standing::{Request, Standing, Treatment};
 use crate::value::{ControlValue, Document};
 
+mod contact;
+mod servers;
+
 /// Heartbeats that a server may miss before it counts as silent.
 const HEARTBEATS_MISSED: u64 = 4;
 /// A gate that says nothing for this long gets no new clients.
@@ -168,47 +171,6 @@
         }
     }
 
-    fn heartbeat(&mut self, id: String, heartbeat: Heartbeat, to: oneshot::Sender<Reply>) {
-        let request = match heartbeat.state {
-            InstanceState::Draining => Request::Draining,
-            InstanceState::Ready => Request::Heartbeat,
-        };
-        let news = self.catalog.heartbeat(self.now(), &id, heartbeat);
-        self.publish(news.into_iter().collect());
-        self.answer_server(request, Key::Instance(id), to);
-    }
-
-    fn server_leaves(&mut self, id: String, to: oneshot::Sender<Reply>) {
-        let news = self.catalog.leave(self.now(), &id);
-        self.publish(news.into_iter().collect());
-        self.answer_server(Request::Delete, Key::Instance(id), to);
-    }
-
-    /// Answers a server whose word has been taken in.
-    fn answer_server(&mut self, request: Request, key: Key, to: oneshot::Sender<Reply>) {
-        match self.standing.treatment(request) {
-            Treatment::Acknowledge => drop(to.send(Reply::json("{}"))),
-            Treatment::Confirm => self.confirm(key, to),
-            _ => drop(to.send(Reply::refused(503, OUT_OF_CONTACT))),
-        }
-    }
-
-    /// Tells all coordinators what is known of a server, and answers once a majority has it.
-    fn confirm(&mut self, key: Key, to: oneshot::Sender<Reply>) {
-        let Some(entry) = self.catalog.get(&key).cloned() else {
-            // Another coordinator may know it; nobody would hear of this one's word.
-            let _ = to.send(Reply::refused(503, "this server is not known here"));
-            return;
-        };
-        for queue in self.outgoing.values() {
-            let _ = queue.send(ToCoordinator::Entries(vec![entry.clone()]));
-        }
-        self.confirmations.add(self.replica.clock().now(), key, to);
-        let effects = self.replica.question();
-        self.carry_out(effects);
-        self.observe();
-    }
-
     fn decide(&mut self, request: Request, change: Operation<ControlValue>, to: oneshot::Sender<Reply>) {
         if self.standing.treatment(request) == Treatment::Refuse {
             let _ = to.send(Reply::refused(503, OUT_OF_CONTACT));
@@ -239,68 +201,6 @@
         resolve::answer(&addresses, self.ttl_s)
     }
 
-    /// Takes up what follows from the age of the contact. Called before anything is answered: a process that stood
-    /// still has lost contact, though no timer could tell.
-    fn observe(&mut self) {
-        let standing = self.standing.observed(self.replica.is_in_contact());
-        self.enter(standing);
-        let now = self.replica.clock().now();
-        self.confirmations.settle(now, self.replica.contact_since());
-    }
-
-    fn enter(&mut self, standing: Standing) {
-        let before = std::mem::replace(&mut self.standing, standing);
-        if before == standing {
-            return;
-        }
-        match standing {
-            Standing::Starting => {}
-            Standing::CatchingUp => {
-                let effects = self.replica.catch_up();
-                self.carry_out(effects);
-            }
-            Standing::InContact => {
-                info!(self.log, "in contact with a majority of the coordinators");
-                self.catalog.resume(self.now());
-            }
-            Standing::OutOfContact if before == Standing::InContact => {
-                warn!(
-                    self.log,
-                    "out of contact with the majority of the coordinators: nothing is acknowledged"
-                );
-                self.confirmations.refuse();
-            }
-            Standing::OutOfContact | Standing::Leaving => self.confirmations.refuse(),
-        }
-        if (before == Standing::InContact) != (self.standing == Standing::InContact) {
-            self.relay.set_in_contact(self.is_feed_fresh());
-            self.tell_alive();
-        }
-    }
-
-    fn is_feed_fresh(&self) -> bool {
-        self.standing.treatment(Request::Feed) == Treatment::Fresh
-    }
-
-    /// The read that catches up has ended.
-    fn caught_up(&mut self, holds_newest: bool) {
-        if holds_newest {
-            return self.enter(self.standing.caught_up());
-        }
-        if self.standing == Standing::CatchingUp {
-            let effects = self.replica.catch_up();
-            self.carry_out(effects);
-        }
-    }
-
-    fn answered(&self, kind: Kind, reply: Reply, to: oneshot::Sender<Reply>) {
-        let reply = match self.standing {
-            Standing::OutOfContact => withheld(kind, reply),
-            _ => reply,
-        };
-        let _ = to.send(reply);
-    }
-
     fn carry_out(&mut self, effects: Vec<Effect>) {
         for effect in effects {
             match effect {
@@ -370,10 +270,7 @@
 
     /// A link to another coordinator is up: what is sent there goes into this queue.
     pub fn linked(&mut self, to: SocketAddr, queue: mpsc::UnboundedSender<ToCoordinator>) {
-        let waiting = self.confirmations.keys().filter_map(|key| self.catalog.get(key));
-        for entry in waiting {
-            let _ = queue.send(ToCoordinator::Entries(vec![entry.clone()]));
-        }
+        self.send_unconfirmed(&queue);
         self.outgoing.insert(to, queue);
     }
 
@@ -418,17 +315,6 @@
         self.tell_alive();
     }
 
-    /// Tells all subscribers that this coordinator is there, and whether it is in contact.
-    fn tell_alive(&mut self) {
-        let in_contact = self.is_feed_fresh();
-        let fresh = self.catalog.take_fresh();
-        let coordinators: Vec<SocketAddr> = self.coordinators.iter().copied().collect();
-        self.subscribers.retain(|_, (to, coordinator)| {
-            let heard = if *coordinator { fresh.clone() } else { Vec::new() };
-            to.send(FromCoordinator::Alive { coordinators: coordinators.clone(), heard, in_contact }).is_ok()
-        });
-    }
-
     /// Adds a subscriber.
     pub fn subscribe(&mut self, to: Subscriber, coordinator: bool) -> u64 {
         let coordinators = self.coordinators.iter().copied().collect();
--- /dev/null
+++ b/crates/coordinator/src/state/contact.rs
@@ -0,0 +1,95 @@
+//! Contact with the majority of the coordinators: changes of the standing, and what the feed says of it.
+
+use std::net::SocketAddr;
+
+use ironmast_schema::control::FromCoordinator;
+use slog::{info, warn};
+use tokio::sync::oneshot;
+
+use super::{Reply, State};
+use crate::replica::{Kind, withheld};
+use crate::standing::{Request, Standing, Treatment};
+
+impl State {
+    /// Takes up what follows from the age of the contact. Called before anything is answered: a process that stood
+    /// still has lost contact, though no timer could tell.
+    pub(super) fn observe(&mut self) {
+        let standing = self.standing.observed(self.replica.is_in_contact());
+        self.enter(standing);
+        let now = self.replica.clock().now();
+        self.confirmations.settle(now, self.replica.contact_since());
+    }
+
+    /// Changes the standing, with what each change entails.
+    pub(super) fn enter(&mut self, standing: Standing) {
+        let before = std::mem::replace(&mut self.standing, standing);
+        if before == standing {
+            return;
+        }
+        match standing {
+            Standing::Starting => {}
+            Standing::CatchingUp => self.catch_up(),
+            Standing::InContact => self.contact_gained(),
+            Standing::OutOfContact => self.contact_lost(before),
+            Standing::Leaving => self.confirmations.refuse(),
+        }
+        // Catching up may have changed the standing again.
+        if (before == Standing::InContact) != (self.standing == Standing::InContact) {
+            self.relay.set_in_contact(self.is_feed_fresh());
+            self.tell_alive();
+        }
+    }
+
+    /// Begins the read that makes up for what was decided out of contact.
+    fn catch_up(&mut self) {
+        let effects = self.replica.catch_up();
+        self.carry_out(effects);
+    }
+
+    fn contact_gained(&mut self) {
+        info!(self.log, "in contact with a majority of the coordinators");
+        self.catalog.resume(self.now());
+    }
+
+    fn contact_lost(&mut self, before: Standing) {
+        if before == Standing::InContact {
+            warn!(self.log, "out of contact with the majority of the coordinators: nothing is acknowledged");
+        }
+        self.confirmations.refuse();
+    }
+
+    /// The read that catches up has ended.
+    pub(super) fn caught_up(&mut self, holds_newest: bool) {
+        if holds_newest {
+            return self.enter(self.standing.caught_up());
+        }
+        if self.standing == Standing::CatchingUp {
+            self.catch_up();
+        }
+    }
+
+    /// Passes on the register's answer to a request, or what may be said of it out of contact.
+    pub(super) fn answered(&self, kind: Kind, reply: Reply, to: oneshot::Sender<Reply>) {
+        let reply = match self.standing {
+            Standing::OutOfContact => withheld(kind, reply),
+            _ => reply,
+        };
+        let _ = to.send(reply);
+    }
+
+    /// Whether subscribers may take what this coordinator tells as fresh.
+    pub(super) fn is_feed_fresh(&self) -> bool {
+        self.standing.treatment(Request::Feed) == Treatment::Fresh
+    }
+
+    /// Tells all subscribers that this coordinator is there, and whether it is in contact.
+    pub(super) fn tell_alive(&mut self) {
+        let in_contact = self.is_feed_fresh();
+        let fresh = self.catalog.take_fresh();
+        let coordinators: Vec<SocketAddr> = self.coordinators.iter().copied().collect();
+        self.subscribers.retain(|_, (to, coordinator)| {
+            let heard = if *coordinator { fresh.clone() } else { Vec::new() };
+            to.send(FromCoordinator::Alive { coordinators: coordinators.clone(), heard, in_contact }).is_ok()
+        });
+    }
+}
