transport, register: tests share what they set up alike

pass_through: Stage::exchange serves nine places that accept a connection, read the request, write and hand the connection back. read_ahead: Woken::new makes a count with its waker, in five tests. second_loss: near_or_far and with_two_standbys begin the worlds that were set up alike. What the tests do and assert is unchanged.

--- a/crates/register/tests/second_loss.rs
+++ b/crates/register/tests/second_loss.rs
@@ -24,6 +24,23 @@
     world.submit(hosts[host], Some(Change::Mark { mark }), SYNC_TIME);
 }
 
+/// A settled register whose network is calm at even seeds, and far at odd ones.
+fn near_or_far(seed: u64, members: usize, spares: usize) -> World {
+    let mut world = settled(seed, members, spares);
+    world.weather = if seed.is_multiple_of(2) { CALM } else { FAR };
+    world
+}
+
+/// The same with two standbys and a change under way.
+fn with_two_standbys(seed: u64, members: usize) -> World {
+    let mut world = near_or_far(seed, members, 2);
+    world.start(members);
+    world.start(members + 1);
+    world.run(Duration::from_millis(400));
+    write(&mut world, 2);
+    world
+}
+
 /// Loses a disk for good; another machine is there at once.
 fn replace(world: &mut World, lost: usize, by: usize) {
     world.wipe(lost);
@@ -58,8 +75,7 @@
 fn one_after_the_other_is_lost_from_the_time_to_sync_on() {
     for members in [3, 5] {
         for seed in 0..40 {
-            let mut world = settled(seed, members, 6);
-            world.weather = if seed % 2 == 0 { CALM } else { FAR };
+            let mut world = near_or_far(seed, members, 6);
             for lost in 0..6 {
                 write(&mut world, 10 + lost as u64);
                 let moment = world.random.millis(0, 250);
@@ -102,8 +118,7 @@
 fn one_that_leaves_is_let_go_once_a_majority_without_it_holds_the_newest_state() {
     for members in [3, 5] {
         for seed in 0..20 {
-            let mut world = settled(seed, members, 1);
-            world.weather = if seed % 2 == 0 { CALM } else { FAR };
+            let mut world = near_or_far(seed, members, 1);
             let behind = members / 2 + 1..members;
             behind.for_each(|host| world.isolate(host));
             world.submit(0, Some(Change::Mark { mark: 2 }), SYNC_TIME);
@@ -138,12 +153,7 @@
 fn two_that_leave_at_once_are_both_let_go_in_time() {
     for members in [3, 5] {
         for seed in 0..20 {
-            let mut world = settled(seed, members, 2);
-            world.weather = if seed % 2 == 0 { CALM } else { FAR };
-            world.start(members);
-            world.start(members + 1);
-            world.run(Duration::from_millis(400));
-            write(&mut world, 2);
+            let mut world = with_two_standbys(seed, members);
             world.leave(0);
             world.leave(1);
             let start = world.now;
@@ -163,12 +173,7 @@
 fn one_leaves_while_another_is_lost() {
     for members in [3, 5] {
         for seed in 0..20 {
-            let mut world = settled(seed, members, 2);
-            world.weather = if seed % 2 == 0 { CALM } else { FAR };
-            world.start(members);
-            world.start(members + 1);
-            world.run(Duration::from_millis(400));
-            write(&mut world, 2);
+            let mut world = with_two_standbys(seed, members);
             world.wipe(1);
             world.leave(0);
             world.run(HANDOVER);
--- a/crates/transport/src/read_ahead/tests.rs
+++ b/crates/transport/src/read_ahead/tests.rs
@@ -18,6 +18,13 @@
 }
 
 impl Woken {
+    /// The count, and the waker that it counts.
+    fn new() -> (Arc<Self>, Waker) {
+        let woken = Arc::new(Self::default());
+        let waker = Waker::from(Arc::clone(&woken));
+        (woken, waker)
+    }
+
     fn times(&self) -> usize {
         self.0.load(Ordering::SeqCst)
     }
@@ -44,8 +51,7 @@
 
 #[test]
 fn behind_a_request_in_hand_reading_stops_without_a_wake_until_it_is_over() {
-    let woken = Arc::new(Woken::default());
-    let waker = Waker::from(Arc::clone(&woken));
+    let (woken, waker) = Woken::new();
     let cx = Context::from_waker(&waker);
     let ahead = ReadAhead::new();
     assert_eq!(read_all(&ahead, 100, &cx), 100);
@@ -80,8 +86,7 @@
 
 #[test]
 fn a_body_is_read_on_as_it_is_drawn() {
-    let woken = Arc::new(Woken::default());
-    let waker = Waker::from(Arc::clone(&woken));
+    let (woken, waker) = Woken::new();
     let cx = Context::from_waker(&waker);
     let ahead = ReadAhead::new();
     assert_eq!(read_all(&ahead, 100, &cx), 100);
@@ -96,8 +101,7 @@
 
 #[test]
 fn a_body_that_nobody_draws_is_read_to_its_end() {
-    let woken = Arc::new(Woken::default());
-    let waker = Waker::from(Arc::clone(&woken));
+    let (woken, waker) = Woken::new();
     let cx = Context::from_waker(&waker);
     let ahead = ReadAhead::new();
     ahead.poll_room(&cx).is_ready();
@@ -110,8 +114,7 @@
 
 #[test]
 fn what_comes_in_one_go_is_looked_at_in_between() {
-    let woken = Arc::new(Woken::default());
-    let waker = Waker::from(Arc::clone(&woken));
+    let (woken, waker) = Woken::new();
     let cx = Context::from_waker(&waker);
     let ahead = ReadAhead::new();
     for turn in 1..=10 {
@@ -158,8 +161,7 @@
 
 #[test]
 fn a_request_behind_which_nothing_came_wakes_nobody() {
-    let woken = Arc::new(Woken::default());
-    let waker = Waker::from(Arc::clone(&woken));
+    let (woken, waker) = Woken::new();
     let cx = Context::from_waker(&waker);
     let ahead = ReadAhead::new();
     for _ in 0..10 {
--- a/crates/transport/tests/pass_through.rs
+++ b/crates/transport/tests/pass_through.rs
@@ -22,14 +22,7 @@
 /// Each event is read before the server writes the next: nothing is held back.
 async fn one_by_one(stage: &Stage, framing: &str, options: AttemptOptions) {
     let state = attempt(options);
-    let ask = stage.ask(&state, Method::GET);
-    let serve = async {
-        let mut peer = stage.accept().await;
-        peer.request().await;
-        peer.write(&head(ID, framing)).await;
-        peer
-    };
-    let (answer, mut peer) = futures_util::future::join(ask, serve).await;
+    let (answer, mut peer) = stage.exchange(&state, Method::GET, &head(ID, framing)).await;
     let mut answer = answer.expect("its head");
     assert_eq!(answer.headers().get("X-Ironmast-Request-Id"), Some(&HeaderValue::from_static(ID)));
     let events = if framing == SIZED { 2 } else { 20 };
@@ -112,13 +105,8 @@
     play(async {
         let stage = Stage::start().await;
         let state = attempt(passing());
-        let serve = async {
-            let mut peer = stage.accept().await;
-            peer.request().await;
-            peer.write(&format!("{}{}", head(ID, TO_END), event(1))).await;
-            peer
-        };
-        let (answer, peer) = futures_util::future::join(stage.ask(&state, Method::GET), serve).await;
+        let begun = format!("{}{}", head(ID, TO_END), event(1));
+        let (answer, peer) = stage.exchange(&state, Method::GET, &begun).await;
         let mut answer = answer.expect("its head");
         exactly(&mut answer, &event(1)).await;
         peer.reset();
@@ -131,13 +119,8 @@
     play(async {
         let stage = Stage::start().await;
         let state = attempt(passing());
-        let serve = async {
-            let mut peer = stage.accept().await;
-            peer.request().await;
-            peer.write(&format!("{}5\r\nhello\r\n", head(ID, CHUNKED))).await;
-            peer
-        };
-        let (answer, mut peer) = futures_util::future::join(stage.ask(&state, Method::GET), serve).await;
+        let begun = format!("{}5\r\nhello\r\n", head(ID, CHUNKED));
+        let (answer, mut peer) = stage.exchange(&state, Method::GET, &begun).await;
         let mut answer = answer.expect("its head");
         exactly(&mut answer, "hello").await;
         peer.write("zz\r\nhello\r\n0\r\n\r\n").await;
@@ -155,13 +138,8 @@
     play(async {
         let stage = Stage::start().await;
         let state = attempt(passing());
-        let serve = async {
-            let mut peer = stage.accept().await;
-            peer.request().await;
-            peer.write(&format!("{}{}", head(ID, CHUNKED), "5\r\nhel")).await;
-            peer
-        };
-        let (answer, mut peer) = futures_util::future::join(stage.ask(&state, Method::GET), serve).await;
+        let begun = format!("{}{}", head(ID, CHUNKED), "5\r\nhel");
+        let (answer, mut peer) = stage.exchange(&state, Method::GET, &begun).await;
         let mut answer = answer.expect("its head");
         exactly(&mut answer, "hel").await;
         let progress = state.last_progress().expect("some");
--- a/crates/transport/tests/pass_through/kept.rs
+++ b/crates/transport/tests/pass_through/kept.rs
@@ -40,13 +40,8 @@
         }
         let stage = Stage::start().await;
         let state = attempt(passing());
-        let serve = async {
-            let mut peer = stage.accept().await;
-            peer.request().await;
-            peer.write(&format!("{surplus}{}helloworld", head(ID, SIZED))).await;
-            peer
-        };
-        let (answer, mut peer) = futures_util::future::join(stage.ask(&state, Method::GET), serve).await;
+        let doubtful = format!("{surplus}{}helloworld", head(ID, SIZED));
+        let (answer, mut peer) = stage.exchange(&state, Method::GET, &doubtful).await;
         assert_eq!(whole(&mut answer.expect("an answer")).await, "helloworld");
         peer.closed().await;
     });
@@ -58,13 +53,8 @@
     play(async {
         let stage = Stage::start().await;
         let state = attempt(passing());
-        let serve = async {
-            let mut peer = stage.accept().await;
-            peer.request().await;
-            peer.write(&head(ID, SIZED).replace("200 OK", "304 Not Modified")).await;
-            peer
-        };
-        let (answer, mut peer) = futures_util::future::join(stage.ask(&state, Method::GET), serve).await;
+        let unmodified = head(ID, SIZED).replace("200 OK", "304 Not Modified");
+        let (answer, mut peer) = stage.exchange(&state, Method::GET, &unmodified).await;
         let mut answer = answer.expect("its head");
         peer.write(&format!("{}helloworld", head("another", SIZED))).await;
         peer.arrived().await;
@@ -79,13 +69,8 @@
     play(async {
         let stage = Stage::start().await;
         let state = attempt(passing());
-        let serve = async {
-            let mut peer = stage.accept().await;
-            peer.request().await;
-            peer.write(&format!("{}helloworld", head(ID, &format!("Upgrade: websocket\r\n{SIZED}")))).await;
-            peer
-        };
-        let (answer, mut peer) = futures_util::future::join(stage.ask(&state, Method::GET), serve).await;
+        let upgrade = format!("{}helloworld", head(ID, &format!("Upgrade: websocket\r\n{SIZED}")));
+        let (answer, mut peer) = stage.exchange(&state, Method::GET, &upgrade).await;
         assert!(answer.is_err());
         assert_eq!(state.spoilt(), Some("it changes the protocol"));
         assert!(asks_anew(&stage, &mut peer).await);
@@ -216,13 +201,7 @@
     play(async {
         let stage = Stage::start().await;
         let state = attempt(AttemptOptions { without_body: true, ..passing() });
-        let serve = async {
-            let mut peer = stage.accept().await;
-            peer.request().await;
-            peer.write(&head(ID, SIZED)).await;
-            peer
-        };
-        let (answer, mut peer) = futures_util::future::join(stage.ask(&state, Method::HEAD), serve).await;
+        let (answer, mut peer) = stage.exchange(&state, Method::HEAD, &head(ID, SIZED)).await;
         let mut answer = answer.expect("its head");
         assert_eq!(answer.headers().get(CONTENT_LENGTH), Some(&HeaderValue::from_static("10")));
         assert_eq!(whole(&mut answer).await, "");
--- a/crates/transport/tests/pass_through/stage.rs
+++ b/crates/transport/tests/pass_through/stage.rs
@@ -85,6 +85,22 @@
         state.scope(call.send_body(body)).await
     }
 
+    /// Sends a request, which the server answers by these bytes on a new connection; that connection, too.
+    pub async fn exchange(
+        &self,
+        state: &Rc<AttemptState>,
+        method: Method,
+        written: &str,
+    ) -> (Result<Answer, SendRequestError>, Peer) {
+        let serve = async {
+            let mut peer = self.accept().await;
+            peer.request().await;
+            peer.write(written).await;
+            peer
+        };
+        futures_util::future::join(self.ask(state, method), serve).await
+    }
+
     /// The next connection.
     pub async fn accept(&self) -> Peer {
         let (stream, _) = self.listener.accept().await.expect("a connection");
@@ -192,13 +208,8 @@
 pub async fn answered_as(stage: &Stage, framing: &str, body: &str, behind: &str, flows: bool) -> Peer {
     let state = attempt(passing());
     let (first, rest) = (head(ID, framing), format!("{body}{behind}"));
-    let serve = async {
-        let mut peer = stage.accept().await;
-        peer.request().await;
-        peer.write(&if flows { first.clone() } else { format!("{first}{rest}") }).await;
-        peer
-    };
-    let (answer, mut peer) = futures_util::future::join(stage.ask(&state, Method::GET), serve).await;
+    let written = if flows { first } else { format!("{first}{rest}") };
+    let (answer, mut peer) = stage.exchange(&state, Method::GET, &written).await;
     let mut answer = answer.expect("an answer");
     if flows {
         peer.write(&rest).await;
