transport, mesh, register, coordinator: plain names and units on what is new

ReadAhead: body_consumed, body_abandoned, request_started, request_finished and socket_empty for drawn, abandoned, begin, over and ran_dry; MAX_READ_AHEAD_BYTES, BODY_PART_BYTES. StreamObserver: read_would_block for ran_dry. Queue of a mesh connection: QueueReceiver, MAX_QUEUED_BYTES. Acceptor: awaits_first_record for mute. Contact: ask_at_once for hasten. Confirmations speak of reports, not words. Behaviour is unchanged.

--- a/crates/coordinator/src/confirm.rs
+++ b/crates/coordinator/src/confirm.rs
@@ -1,8 +1,8 @@
-//! Words of servers that leave, which are acknowledged once a majority of the coordinators holds them.
+//! Reports of servers that drain or leave, which are acknowledged once a majority of the coordinators holds them.
 //!
-//! The word goes to every other coordinator, and a question behind it on the same link. Whoever answers the question
-//! has taken the word in before, and spread it: it outlives the coordinator that acknowledges it. A link that comes up
-//! meanwhile carries the word before anything else.
+//! A report goes to every other coordinator, and a question behind it on the same link. Whoever answers the question
+//! has received the report before, and published it: it outlives the coordinator that acknowledges it. A link that
+//! comes up meanwhile carries the report before anything else.
 
 use std::time::Duration;
 
@@ -11,42 +11,43 @@
 
 use crate::state::Reply;
 
-/// A word is confirmed within this or answered 503: servers wait for a second.
+/// A report is confirmed within this time or answered 503: servers wait for a second.
 const CONFIRM_WITHIN: Duration = Duration::from_millis(700);
 
-/// A word that waits.
+/// A report that isn't confirmed yet.
 #[derive(Debug)]
-struct Waiting {
+struct Unconfirmed {
     key: Key,
+    /// When it came, by the coordinator's steady clock.
     since: Duration,
     to: oneshot::Sender<Reply>,
 }
 
-/// The words that wait.
+/// The reports that aren't confirmed yet.
 #[derive(Debug, Default)]
 pub struct Confirmations {
-    waiting: Vec<Waiting>,
+    waiting: Vec<Unconfirmed>,
 }
 
 impl Confirmations {
-    /// Adds a word about this key that came at `now`.
+    /// Adds a report about this key that came at `now`; `to` gets the answer.
     pub fn add(&mut self, now: Duration, key: Key, to: oneshot::Sender<Reply>) {
-        self.waiting.push(Waiting { key, since: now, to });
+        self.waiting.push(Unconfirmed { key, since: now, to });
     }
 
-    /// What the words that wait are about.
+    /// The keys that the unconfirmed reports are about.
     pub fn keys(&self) -> impl Iterator<Item = &Key> {
         self.waiting.iter().map(|waiting| &waiting.key)
     }
 
-    /// Answers the words that are confirmed: those older than the question that a majority has answered last. Those
-    /// that have waited too long get 503.
+    /// Answers the confirmed reports, and 503 to those that have waited too long. `answered` is when the newest question
+    /// that a majority has answered was asked: reports that came no later are confirmed.
     pub fn settle(&mut self, now: Duration, answered: Option<Duration>) {
-        let is_confirmed = |waiting: &mut Waiting| answered.is_some_and(|asked| waiting.since <= asked);
+        let is_confirmed = |waiting: &mut Unconfirmed| answered.is_some_and(|asked| waiting.since <= asked);
         for waiting in self.waiting.extract_if(.., is_confirmed) {
             let _ = waiting.to.send(Reply::json("{}"));
         }
-        let is_late = |waiting: &mut Waiting| now >= waiting.since + CONFIRM_WITHIN;
+        let is_late = |waiting: &mut Unconfirmed| now >= waiting.since + CONFIRM_WITHIN;
         self.waiting.extract_if(.., is_late).for_each(refuse);
     }
 
@@ -56,6 +57,6 @@
     }
 }
 
-fn refuse(waiting: Waiting) {
+fn refuse(waiting: Unconfirmed) {
     let _ = waiting.to.send(Reply::refused(503, "no majority of the coordinators has confirmed it in time"));
 }
--- a/crates/mesh/src/queue.rs
+++ b/crates/mesh/src/queue.rs
@@ -10,64 +10,64 @@
 use ironmast_overlay::{Entry, Message};
 use tokio::sync::{mpsc, oneshot};
 
-/// Bytes that may wait for a peer, about: more than a peer that reads is ever behind.
-pub const BYTES_MOST: usize = 2 * 1024 * 1024;
+/// Bytes that may wait for a peer, estimated: more than a peer that reads ever leaves waiting.
+pub const MAX_QUEUED_BYTES: usize = 2 * 1024 * 1024;
 
-/// What a message without entries is counted as, and what one version listed in it adds.
+/// Bytes that a message without entries counts as, and that each version listed in it adds.
 const MESSAGE_BYTES: usize = 256;
 const VERSION_BYTES: usize = 16;
 
-/// The end of the driver; the connection ends when it is dropped.
+/// The sending end, held by the driver; the connection ends when it is dropped.
 #[derive(Debug)]
 pub struct Queue {
     messages: mpsc::UnboundedSender<Message>,
-    waiting: Rc<Cell<usize>>,
+    waiting_bytes: Rc<Cell<usize>>,
     /// Dropped with the queue, which tells the other end.
     _open: oneshot::Sender<()>,
 }
 
-/// The end of the connection.
+/// The receiving end, held by the connection.
 #[derive(Debug)]
-pub struct Waiting {
+pub struct QueueReceiver {
     messages: mpsc::UnboundedReceiver<Message>,
-    waiting: Rc<Cell<usize>>,
+    waiting_bytes: Rc<Cell<usize>>,
 }
 
 /// A queue, its other end, and a future that ends when the queue is dropped.
-pub fn queue() -> (Queue, Waiting, impl Future<Output = ()>) {
+pub fn queue() -> (Queue, QueueReceiver, impl Future<Output = ()>) {
     let (sender, receiver) = mpsc::unbounded_channel();
     let (open, dropped) = oneshot::channel();
-    let waiting = Rc::new(Cell::new(0));
-    let queue = Queue { messages: sender, waiting: Rc::clone(&waiting), _open: open };
+    let waiting_bytes = Rc::new(Cell::new(0));
+    let queue = Queue { messages: sender, waiting_bytes: Rc::clone(&waiting_bytes), _open: open };
     let closed = async move { drop(dropped.await) };
-    (queue, Waiting { messages: receiver, waiting }, closed)
+    (queue, QueueReceiver { messages: receiver, waiting_bytes }, closed)
 }
 
 impl Queue {
     /// Adds a message unless too much waits already; whether it was added. One message alone may be of any size.
     #[must_use]
     pub fn push(&self, message: Message) -> bool {
-        let waiting = self.waiting.get();
+        let waiting = self.waiting_bytes.get();
         let with_it = waiting + size(&message);
-        if waiting > 0 && with_it > BYTES_MOST {
+        if waiting > 0 && with_it > MAX_QUEUED_BYTES {
             return false;
         }
-        self.waiting.set(with_it);
+        self.waiting_bytes.set(with_it);
         let _ = self.messages.send(message);
         true
     }
 }
 
-impl Waiting {
+impl QueueReceiver {
     /// The next message; none once the queue has been dropped and is empty.
     pub async fn next(&mut self) -> Option<Message> {
         let message = self.messages.recv().await?;
-        self.waiting.set(self.waiting.get() - size(&message));
+        self.waiting_bytes.set(self.waiting_bytes.get() - size(&message));
         Some(message)
     }
 }
 
-/// About how many bytes a message takes.
+/// Estimated bytes of a message.
 fn size(message: &Message) -> usize {
     match message {
         Message::Entries { entries, .. } => MESSAGE_BYTES + entries.iter().map(Entry::size).sum::<usize>(),
--- a/crates/mesh/src/queue/tests.rs
+++ b/crates/mesh/src/queue/tests.rs
@@ -21,7 +21,7 @@
 #[test]
 fn a_message_alone_may_be_longer() {
     let (queue, _waiting, _closed) = queue();
-    assert!(queue.push(entries(2 * BYTES_MOST)));
+    assert!(queue.push(entries(2 * MAX_QUEUED_BYTES)));
     assert!(!queue.push(Message::Leave));
 }
 
--- a/crates/register/src/acceptor.rs
+++ b/crates/register/src/acceptor.rs
@@ -78,7 +78,7 @@
     covered: Vec<Addressed<V>>,
     last_token: PersistToken,
     /// Whether the first record isn't durable yet: until then nothing is answered.
-    mute: bool,
+    awaits_first_record: bool,
     guards: Guards,
 }
 
@@ -93,7 +93,7 @@
             waiting: Vec::new(),
             covered: Vec::new(),
             last_token: 0,
-            mute: false,
+            awaits_first_record: false,
             guards,
         }
     }
@@ -104,7 +104,7 @@
         let mut acceptor = Self::recovered(Record::empty(record.identity), guards);
         acceptor.record = record;
         acceptor.dirty = true;
-        acceptor.mute = guards.keeps(Guard::PersistBeforeReply);
+        acceptor.awaits_first_record = guards.keeps(Guard::PersistBeforeReply);
         acceptor
     }
 
@@ -137,8 +137,8 @@
     }
 
     /// Whether nothing is answered yet, since the first record isn't durable.
-    pub fn is_mute(&self) -> bool {
-        self.mute
+    pub fn awaits_first_record(&self) -> bool {
+        self.awaits_first_record
     }
 
     /// Whether the replica holds no state at all, durable or not.
@@ -167,7 +167,7 @@
         request: Request<V>,
         chosen: Option<&Proposal<V>>,
     ) -> Option<Addressed<V>> {
-        if self.mute {
+        if self.awaits_first_record {
             return None;
         }
         let round = request.round;
@@ -211,7 +211,7 @@
         match self.writing.take_if(|write| write.token == token) {
             Some(write) => {
                 self.durable = write.record;
-                self.mute = false;
+                self.awaits_first_record = false;
                 std::mem::take(&mut self.covered)
             }
             None => Vec::new(),
--- a/crates/register/src/contact.rs
+++ b/crates/register/src/contact.rs
@@ -47,7 +47,7 @@
     }
 
     /// Makes a question due at once.
-    pub fn hasten(&mut self) {
+    pub fn ask_at_once(&mut self) {
         self.ask_at = Duration::ZERO;
     }
 
--- a/crates/register/src/contact/tests.rs
+++ b/crates/register/src/contact/tests.rs
@@ -142,7 +142,7 @@
     let mut contact = contact();
     exchange(&mut contact, 0, &[2]);
     assert_eq!(contact.ask(ms(20)), None);
-    contact.hasten();
+    contact.ask_at_once();
     exchange(&mut contact, 20, &[2]);
     assert_eq!(contact.since(ms(21), OWN, &members(&[1, 2, 3])), Some(ms(20)));
     assert_eq!(contact.ask(ms(21)), None);
--- a/crates/register/src/node.rs
+++ b/crates/register/src/node.rs
@@ -147,7 +147,7 @@
             Event::Submit { id, operation, deadline } => self.proposer.submit(Some(id), operation, deadline),
             Event::Peers(addresses) => self.set_peers(addresses),
             Event::Leaving => self.leave(actions),
-            Event::Question => self.contact.hasten(),
+            Event::Question => self.contact.ask_at_once(),
             Event::Timer => self.timer = None,
         }
         self.tend(now, actions);
@@ -206,7 +206,7 @@
 
     /// Whether what this replica held is known, so that its silence about a newer replica set means that it holds none.
     fn knows_its_record(&self) -> bool {
-        self.first_start.is_none() && !self.acceptor.is_mute()
+        self.first_start.is_none() && !self.acceptor.awaits_first_record()
     }
 
     fn take_reply(
--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -178,18 +178,18 @@
 
     /// A request of it is in hand until the guard is dropped: no more is read ahead than actix-http can hold.
     pub(crate) fn take_in_hand(self: &Rc<Self>) -> InHand {
-        self.ahead.begin();
+        self.ahead.request_started();
         InHand(Rc::clone(self))
     }
 
     /// All that has come of the body of the request in hand is drawn, and more is waited for, at most `rest` bytes.
     pub(crate) fn note_drawn(&self, rest: usize) {
-        self.ahead.drawn(rest);
+        self.ahead.body_consumed(rest);
     }
 
     /// The rest of that body, at most so many bytes, is drawn by nobody.
     pub(crate) fn note_abandoned(&self, rest: usize) {
-        self.ahead.abandoned(rest);
+        self.ahead.body_abandoned(rest);
     }
 
     /// An answer goes out.
@@ -259,8 +259,8 @@
         self.ahead.poll_room(cx)
     }
 
-    fn ran_dry(&self) {
-        self.ahead.ran_dry();
+    fn read_would_block(&self) {
+        self.ahead.socket_empty();
     }
 
     fn got(&self, bytes: &[u8]) {
@@ -318,6 +318,6 @@
 
 impl Drop for InHand {
     fn drop(&mut self) {
-        self.0.ahead.over();
+        self.0.ahead.request_finished();
     }
 }
--- a/crates/transport/src/read_ahead.rs
+++ b/crates/transport/src/read_ahead.rs
@@ -11,14 +11,15 @@
 use std::cell::{Cell, RefCell};
 use std::task::{Context, Poll, Waker};
 
-/// Bytes read in one go, before the connection looks at what has come, and bytes read ahead of the request in hand.
-/// With as much that was left unparsed by the one before, and a body's part, it is less than actix-http holds.
-pub(crate) const READ_AHEAD_MOST: usize = 32 * 1024;
-/// So much more is read of a body that is drawn.
-const BODY_PART: usize = 32 * 1024;
-/// Requests that actix-http queues before it stops parsing; each has two lines at the least.
-const QUEUE: usize = 16;
-const LINES_OF_QUEUE: usize = 2 * QUEUE;
+/// Bytes read at once before the connection parses what has come, and bytes read ahead of the request in hand.
+/// With as many left unparsed by the request before, and a part of a body, they are fewer than actix-http buffers.
+pub(crate) const MAX_READ_AHEAD_BYTES: usize = 32 * 1024;
+/// Bytes that may be read beyond [`MAX_READ_AHEAD_BYTES`] of a body whose reader waits for more.
+const BODY_PART_BYTES: usize = 32 * 1024;
+/// Requests that actix-http queues before it stops parsing.
+const QUEUED_REQUESTS: usize = 16;
+/// Lines of that many requests: each has at least two.
+const QUEUED_LINES: usize = 2 * QUEUED_REQUESTS;
 
 /// Counts what is read of one connection while a request of it is in hand.
 pub(crate) struct ReadAhead {
@@ -39,10 +40,11 @@
 }
 
 impl ReadAhead {
+    /// A connection of which nothing has been read.
     pub fn new() -> Self {
         let (in_hand, rested, parsed, behind) = Default::default();
         let (lines, reader) = Default::default();
-        ReadAhead { in_hand, rested, room: Cell::new(READ_AHEAD_MOST), lines, parsed, behind, reader }
+        ReadAhead { in_hand, rested, room: Cell::new(MAX_READ_AHEAD_BYTES), lines, parsed, behind, reader }
     }
 
     /// How many bytes may be read now. Pending after a long go; and, without a wake, while a request is in hand and
@@ -61,10 +63,10 @@
             self.lines.set(0);
         }
         if first {
-            self.room.set(READ_AHEAD_MOST);
+            self.room.set(MAX_READ_AHEAD_BYTES);
         }
         if self.room.get() == 0 {
-            self.room.set(READ_AHEAD_MOST);
+            self.room.set(MAX_READ_AHEAD_BYTES);
             self.parsed.set(true);
             cx.waker().wake_by_ref();
             return Poll::Pending;
@@ -75,8 +77,8 @@
     fn poll_behind(&self, cx: &Context<'_>) -> Poll<usize> {
         self.remember(cx.waker());
         // So few lines are no queue: actix-http parses on and refuses what grows too long.
-        if self.room.get() == 0 && self.lines.get() < LINES_OF_QUEUE {
-            self.room.set(READ_AHEAD_MOST);
+        if self.room.get() == 0 && self.lines.get() < QUEUED_LINES {
+            self.room.set(MAX_READ_AHEAD_BYTES);
         }
         if self.room.get() > 0 {
             return Poll::Ready(self.room.get());
@@ -85,8 +87,8 @@
         Poll::Pending
     }
 
-    /// There is nothing to read at the moment.
-    pub fn ran_dry(&self) {
+    /// The socket has no bytes to read at the moment.
+    pub fn socket_empty(&self) {
         self.parsed.set(!self.in_hand.get());
     }
 
@@ -101,7 +103,7 @@
     pub fn read(&self, bytes: &[u8]) {
         self.room.set(self.room.get().saturating_sub(bytes.len()));
         // Nobody asks how many more there are. Guards the processor against long bodies.
-        if self.lines.get() < LINES_OF_QUEUE {
+        if self.lines.get() < QUEUED_LINES {
             self.lines.set(self.lines.get() + lines_of(bytes));
         }
         if self.in_hand.get() {
@@ -109,14 +111,14 @@
         }
     }
 
-    /// All that has come of the body of the request in hand is drawn, and more is waited for, at most `rest` bytes.
-    pub fn drawn(&self, rest: usize) {
-        self.allow(READ_AHEAD_MOST + rest.min(BODY_PART));
+    /// The handler has consumed all that has come of the request's body and waits for more: at most `rest` bytes.
+    pub fn body_consumed(&self, rest: usize) {
+        self.allow(MAX_READ_AHEAD_BYTES + rest.min(BODY_PART_BYTES));
     }
 
-    /// The rest of the body, at most so many bytes, is drawn by nobody: actix-http throws it away as it comes.
-    pub fn abandoned(&self, rest: usize) {
-        self.allow(rest.saturating_add(READ_AHEAD_MOST));
+    /// Nobody consumes the rest of the body, at most `rest` bytes: actix-http discards it as it comes.
+    pub fn body_abandoned(&self, rest: usize) {
+        self.allow(rest.saturating_add(MAX_READ_AHEAD_BYTES));
     }
 
     fn allow(&self, bytes: usize) {
@@ -126,18 +128,18 @@
         }
     }
 
-    /// A request is taken in hand.
-    pub fn begin(&self) {
+    /// The handling of a request begins.
+    pub fn request_started(&self) {
         self.in_hand.set(true);
         self.parsed.set(false);
         if self.rested.take() {
-            self.room.set(READ_AHEAD_MOST);
+            self.room.set(MAX_READ_AHEAD_BYTES);
         }
     }
 
-    /// Its answer is written, or nobody wants it any more. Guards requests that have come meanwhile against waiting
+    /// The answer is written, or its client has left. Guards requests that have come meanwhile against waiting
     /// until more come: actix-http looks at its buffer once before it writes the answer, and not after it.
-    pub fn over(&self) {
+    pub fn request_finished(&self) {
         self.in_hand.set(false);
         if self.behind.get() {
             self.wake();
--- a/crates/transport/src/read_ahead/tests.rs
+++ b/crates/transport/src/read_ahead/tests.rs
@@ -2,7 +2,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll, Wake, Waker};
 
-use super::{READ_AHEAD_MOST, ReadAhead, lines_of};
+use super::{MAX_READ_AHEAD_BYTES, ReadAhead, lines_of};
 
 /// Of the buffer that is read into, so many bytes are free at a time.
 const PART: usize = 8 * 1024;
@@ -55,13 +55,13 @@
     let cx = Context::from_waker(&waker);
     let ahead = ReadAhead::new();
     assert_eq!(read_all(&ahead, 100, &cx), 100);
-    ahead.begin();
-    assert_eq!(read_all(&ahead, 10 * READ_AHEAD_MOST, &cx), READ_AHEAD_MOST);
+    ahead.request_started();
+    assert_eq!(read_all(&ahead, 10 * MAX_READ_AHEAD_BYTES, &cx), MAX_READ_AHEAD_BYTES);
     for _ in 0..100 {
         assert!(ahead.poll_room(&cx).is_pending());
     }
     assert_eq!(woken.times(), 0, "nobody is woken in vain");
-    ahead.over();
+    ahead.request_finished();
     assert_eq!(woken.times(), 1);
     assert!(ahead.poll_room(&cx).is_ready());
 }
@@ -72,15 +72,15 @@
     let cx = Context::from_waker(Waker::noop());
     let ahead = ReadAhead::new();
     assert_eq!(read_all(&ahead, 100, &cx), 100);
-    ahead.begin();
+    ahead.request_started();
     let mut read = 0;
     for _ in 0..1_000 {
         read += read_all(&ahead, PART, &cx);
-        ahead.over();
-        ahead.begin();
+        ahead.request_finished();
+        ahead.request_started();
     }
-    assert_eq!(read, READ_AHEAD_MOST);
-    ahead.over();
+    assert_eq!(read, MAX_READ_AHEAD_BYTES);
+    ahead.request_finished();
     assert_eq!(read_all(&ahead, PART, &cx), PART, "none is in hand: all is parsed");
 }
 
@@ -90,12 +90,12 @@
     let cx = Context::from_waker(&waker);
     let ahead = ReadAhead::new();
     assert_eq!(read_all(&ahead, 100, &cx), 100);
-    ahead.begin();
-    read_all(&ahead, 10 * READ_AHEAD_MOST, &cx);
+    ahead.request_started();
+    read_all(&ahead, 10 * MAX_READ_AHEAD_BYTES, &cx);
     for turn in 1..=10 {
-        ahead.drawn(100);
+        ahead.body_consumed(100);
         assert_eq!(woken.times(), turn);
-        assert_eq!(read_all(&ahead, 10 * READ_AHEAD_MOST, &cx), READ_AHEAD_MOST + 100);
+        assert_eq!(read_all(&ahead, 10 * MAX_READ_AHEAD_BYTES, &cx), MAX_READ_AHEAD_BYTES + 100);
     }
 }
 
@@ -105,11 +105,15 @@
     let cx = Context::from_waker(&waker);
     let ahead = ReadAhead::new();
     ahead.poll_room(&cx).is_ready();
-    ahead.begin();
-    read_all(&ahead, 10 * READ_AHEAD_MOST, &cx);
-    ahead.abandoned(5 * READ_AHEAD_MOST);
+    ahead.request_started();
+    read_all(&ahead, 10 * MAX_READ_AHEAD_BYTES, &cx);
+    ahead.body_abandoned(5 * MAX_READ_AHEAD_BYTES);
     assert_eq!(woken.times(), 1);
-    assert_eq!(read_all(&ahead, 100 * READ_AHEAD_MOST, &cx), 6 * READ_AHEAD_MOST, "and some behind it");
+    assert_eq!(
+        read_all(&ahead, 100 * MAX_READ_AHEAD_BYTES, &cx),
+        6 * MAX_READ_AHEAD_BYTES,
+        "and some behind it"
+    );
 }
 
 #[test]
@@ -118,11 +122,15 @@
     let cx = Context::from_waker(&waker);
     let ahead = ReadAhead::new();
     for turn in 1..=10 {
-        assert_eq!(read_all(&ahead, 10 * READ_AHEAD_MOST, &cx), READ_AHEAD_MOST);
+        assert_eq!(read_all(&ahead, 10 * MAX_READ_AHEAD_BYTES, &cx), MAX_READ_AHEAD_BYTES);
         assert_eq!(woken.times(), turn, "each go ends with a wake");
     }
-    ahead.begin();
-    assert_eq!(read_all(&ahead, 10 * READ_AHEAD_MOST, &cx), READ_AHEAD_MOST, "all before is parsed");
+    ahead.request_started();
+    assert_eq!(
+        read_all(&ahead, 10 * MAX_READ_AHEAD_BYTES, &cx),
+        MAX_READ_AHEAD_BYTES,
+        "all before is parsed"
+    );
 }
 
 /// What is no queue of requests is parsed, and refused where it grows too long.
@@ -131,9 +139,9 @@
     let cx = Context::from_waker(Waker::noop());
     let ahead = ReadAhead::new();
     read_of(&ahead, b'#', 100, &cx);
-    ahead.ran_dry();
-    ahead.begin();
-    assert_eq!(read_of(&ahead, b'#', 10 * READ_AHEAD_MOST, &cx), 10 * READ_AHEAD_MOST);
+    ahead.socket_empty();
+    ahead.request_started();
+    assert_eq!(read_of(&ahead, b'#', 10 * MAX_READ_AHEAD_BYTES, &cx), 10 * MAX_READ_AHEAD_BYTES);
 }
 
 /// The queue may have come with the request itself, or have been left unparsed by the one before.
@@ -142,21 +150,21 @@
     let cx = Context::from_waker(Waker::noop());
     let ahead = ReadAhead::new();
     read_all(&ahead, 100, &cx);
-    ahead.ran_dry();
-    ahead.begin();
-    assert_eq!(read_of(&ahead, b'#', 10 * READ_AHEAD_MOST, &cx), READ_AHEAD_MOST);
-    ahead.over();
+    ahead.socket_empty();
+    ahead.request_started();
+    assert_eq!(read_of(&ahead, b'#', 10 * MAX_READ_AHEAD_BYTES, &cx), MAX_READ_AHEAD_BYTES);
+    ahead.request_finished();
     read_of(&ahead, b'#', 100, &cx);
-    ahead.ran_dry();
-    ahead.begin();
-    assert_eq!(read_of(&ahead, b'#', 10 * READ_AHEAD_MOST, &cx), READ_AHEAD_MOST);
-    ahead.over();
+    ahead.socket_empty();
+    ahead.request_started();
+    assert_eq!(read_of(&ahead, b'#', 10 * MAX_READ_AHEAD_BYTES, &cx), MAX_READ_AHEAD_BYTES);
+    ahead.request_finished();
     for _ in 0..2 {
         read_of(&ahead, b'#', 100, &cx);
-        ahead.ran_dry();
+        ahead.socket_empty();
     }
-    ahead.begin();
-    assert_eq!(read_of(&ahead, b'#', 10 * READ_AHEAD_MOST, &cx), 10 * READ_AHEAD_MOST);
+    ahead.request_started();
+    assert_eq!(read_of(&ahead, b'#', 10 * MAX_READ_AHEAD_BYTES, &cx), 10 * MAX_READ_AHEAD_BYTES);
 }
 
 #[test]
@@ -166,9 +174,9 @@
     let ahead = ReadAhead::new();
     for _ in 0..10 {
         read_all(&ahead, 100, &cx);
-        ahead.begin();
+        ahead.request_started();
         assert_eq!(read_all(&ahead, 0, &cx), 0);
-        ahead.over();
+        ahead.request_finished();
     }
     assert_eq!(woken.times(), 0);
 }
--- a/crates/transport/src/sockets.rs
+++ b/crates/transport/src/sockets.rs
@@ -177,8 +177,8 @@
     }
     /// These have been read.
     fn got(&self, _bytes: &[u8]) {}
-    /// There are none to read at the moment.
-    fn ran_dry(&self) {}
+    /// No bytes are there to read at the moment.
+    fn read_would_block(&self) {}
     /// All that was to be written has been.
     fn flushed(&self) {}
     /// The other side has closed.
@@ -314,7 +314,7 @@
             Poll::Ready(Ok(())) if !bytes.is_empty() => self.observer.got(bytes),
             Poll::Ready(Ok(())) if self.socket.borrow().gap => {}
             Poll::Ready(_) => self.observer.ended(),
-            Poll::Pending => self.observer.ran_dry(),
+            Poll::Pending => self.observer.read_would_block(),
         }
         polled
     }
