register: an initial member that returns before it has voted waits for a majority

Cause: a member that had settled that it is the first start, and was killed and came back from its disk before the others had settled, counted as any restarted member. With an order it reserved ballots, told that it knew more, and the others each took another identity: no majority was left, for good.

A record that holds the initial state and no vote is now held back like one that has just become a member, until a majority of the initial members, whose addresses are in the record, is known to have started; or until a later state is known as chosen, since those that chose it may have replaced all initial members.

Without the second condition a member that slept through the replacement of the other two makes no progress.

Read in the code, not tested and not mended: a new member tells that it is one before its first write is durable; if the others vote on that and the write is lost with a kill, the same can happen.

--- a/crates/register/src/acceptor.rs
+++ b/crates/register/src/acceptor.rs
@@ -43,6 +43,12 @@
         let accepted = Some(Proposal { ballot: Ballot::ZERO, state });
         Self { accepted, ..Self::empty(Identity::of_seed(own)) }
     }
+
+    /// Whether the replica has promised, accepted or proposed anything beyond the initial state.
+    pub fn has_voted(&self) -> bool {
+        let accepted = self.accepted.as_ref().map_or(Ballot::ZERO, |proposal| proposal.ballot);
+        self.promised.max(accepted) > Ballot::ZERO || self.reserved > 0
+    }
 }
 
 /// A reply and where it goes.
@@ -148,8 +154,7 @@
 
     /// Whether the replica has promised, accepted or proposed anything beyond the initial state.
     pub fn has_voted(&self) -> bool {
-        let accepted = self.record.accepted.as_ref().map_or(Ballot::ZERO, |proposal| proposal.ballot);
-        self.record.promised.max(accepted) > Ballot::ZERO || self.record.reserved > 0
+        self.record.has_voted()
     }
 
     /// Asks for counters up to that one; they can be used once the record is durable.
--- a/crates/register/src/first_start.rs
+++ b/crates/register/src/first_start.rs
@@ -14,7 +14,8 @@
 //!   waits: the one that is missing may be the only other that knows a decision.
 //!
 //! A replica that has become a member votes only once a majority with it has: its votes would tell the others that the
-//! system had started before them, and each of them would take another identity.
+//! system had started before them, and each of them would take another identity. The same holds for a member that comes
+//! back from its disk and has voted for nothing yet ([`FirstStart::returned`]): the others may not have started.
 //!
 //! What remains unprotected: a loss of the disks of a majority, which loses the decisions themselves; and a promise to a
 //! coordinator that is no initial member, given and lost with the disk before that coordinator's request reached any
@@ -74,6 +75,18 @@
         }
     }
 
+    /// For an initial member that comes back from its disk and has voted for nothing; none for any other record.
+    pub(crate) fn returned(own: SocketAddr, record: &Record<V>, patience: Duration) -> Option<Self>
+    where
+        V: Clone,
+    {
+        let initial = record.accepted.as_ref().filter(|_| !record.has_voted())?;
+        let replicas = initial.state.members.current.replicas();
+        let members = replicas.iter().map(|replica| replica.address).collect();
+        let value = V::clone(&initial.state.value);
+        Some(Self { is_member: true, ..Self::new(own, members, value, patience) })
+    }
+
     /// Addresses of the initial members, which are asked.
     pub(crate) fn members(&self) -> impl Iterator<Item = SocketAddr> {
         self.members.iter().copied()
--- a/crates/register/src/guard.rs
+++ b/crates/register/src/guard.rs
@@ -26,6 +26,9 @@
     OwnPause,
     /// An initial member on an empty disk asks the others before it votes under the initial identity.
     FirstStart,
+    /// An initial member that comes back from its disk without having voted waits, as at its first start, until a
+    /// majority of the initial members is known to have started.
+    InitialReturn,
     /// A node that has started tells no state as learnt before it has read one from a majority.
     ReadBeforeTold,
 }
--- a/crates/register/src/node.rs
+++ b/crates/register/src/node.rs
@@ -44,7 +44,8 @@
     /// Whether a state was read from a majority, or chosen by one, in this life. What others tell before may be older
     /// than what an earlier life has acknowledged, so it is not passed on.
     has_read: bool,
-    /// Whether the whole system starts for the first time, while that isn't known.
+    /// Whether the whole system starts for the first time, while that isn't known; and until a majority of the initial
+    /// members is known to have started. Until then the node gives no vote.
     first_start: Option<FirstStart<V>>,
     contact: Contact,
     background: background::Background,
@@ -56,7 +57,12 @@
     pub fn recover(origin: Origin<V>, place: Place, seed: u64, settings: Settings) -> Self {
         let mut random = Random::new(seed);
         let guards = settings.guards;
-        let mut first_start = None;
+        let mut first_start = match &origin {
+            Origin::Disk(record) | Origin::Unconfirmed(record) if guards.keeps(Guard::InitialReturn) => {
+                FirstStart::returned(place.address, record, settings.first_start)
+            }
+            _ => None,
+        };
         let acceptor = match origin {
             Origin::Disk(record) => Acceptor::recovered(record, guards),
             Origin::Unconfirmed(record) => Acceptor::fresh(record, guards),
--- a/crates/register/src/node/bootstrap.rs
+++ b/crates/register/src/node/bootstrap.rs
@@ -1,4 +1,5 @@
-//! The start of an initial member on an empty disk: it becomes a member, or begins anew under another identity.
+//! The start of an initial member on an empty disk: it becomes a member, or begins anew under another identity. And the
+//! wait of a member that has voted for nothing until a majority has started.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -32,7 +33,8 @@
     pub(super) fn conclude_first_start(&mut self, now: Duration, actions: &mut Vec<Action<V>>) {
         let Some(first_start) = &mut self.first_start else { return };
         if first_start.is_member {
-            if first_start.has_majority() {
+            let is_changed = self.learner.ballot() > Ballot::ZERO;
+            if is_changed || first_start.has_majority() {
                 self.first_start = None;
                 self.read(now);
             }
