register: at the first start nobody votes before all initial members are members

Cause: a test of real coordinators waited 60 s in vain twice (an_acknowledged_configuration_outlives_{kills_in_turn, a_lost_disk}, on a busy machine): two members had settled and taken the first order before the third had; that one took another identity, as it must, and the test's first kill came before the set had changed, so that no majority was left. Ruled out: votes of a single member (since the last change a majority has to be members). One that returns from its disk waits for a majority as before. Test: a_new_member_votes_once_all_are_members_or_after_a_while_a_majority.

--- a/crates/register/src/first_start.rs
+++ b/crates/register/src/first_start.rs
@@ -13,8 +13,9 @@
 //!   when they were first heard, the system starts with machines missing. This is believed only after a while. Else it
 //!   waits: the one that is missing may be the only other that knows a decision.
 //!
-//! A replica that has become a member votes only once a majority with it has: its votes would tell the others that the
-//! system had started before them, and each of them would take another identity. The same holds for a member that comes
+//! A replica that has become a member votes only once all initial members have, or after a while a majority with it: its
+//! votes tell the others that the system had started before them, and whoever hasn't yet then takes another identity and
+//! is a member again only after a change of the set. Until then the next loss would leave no majority. The same holds for a member that comes
 //! back from its disk and has voted for nothing yet ([`FirstStart::returned`]): the others may not have started.
 //!
 //! What remains unprotected: a loss of the disks of a majority, which loses the decisions themselves; and a promise to a
@@ -57,6 +58,8 @@
     members_heard: BTreeSet<SocketAddr>,
     /// Whether this replica has become a member.
     pub(crate) is_member: bool,
+    /// Whether it was one before this life.
+    pub(crate) has_returned: bool,
     since: Option<Duration>,
 }
 
@@ -71,6 +74,7 @@
             is_later: false,
             members_heard: BTreeSet::new(),
             is_member: false,
+            has_returned: false,
             since: None,
         }
     }
@@ -84,7 +88,7 @@
         let replicas = initial.state.members.current.replicas();
         let members = replicas.iter().map(|replica| replica.address).collect();
         let value = V::clone(&initial.state.value);
-        Some(Self { is_member: true, ..Self::new(own, members, value, patience) })
+        Some(Self { is_member: true, has_returned: true, ..Self::new(own, members, value, patience) })
     }
 
     /// Addresses of the initial members, which are asked.
@@ -118,9 +122,13 @@
         }
     }
 
-    /// Whether a majority of the initial members, with this one, are members.
-    pub(crate) fn has_majority(&self) -> bool {
-        self.is_member && self.members_heard.len() >= self.members.len() / 2
+    /// Whether this member may vote: all initial members are members, or after a while a majority of them is.
+    pub(crate) fn may_vote(&mut self, now: Duration) -> bool {
+        let since = *self.since.get_or_insert(now);
+        let others = self.members.iter().filter(|member| **member != self.own).count();
+        let majority_suffices = self.has_returned || now >= since + self.patience;
+        let needed = if majority_suffices { self.members.len() / 2 } else { others };
+        self.is_member && self.members_heard.len() >= needed
     }
 
     /// The record of an initial member.
--- a/crates/register/src/first_start/tests.rs
+++ b/crates/register/src/first_start/tests.rs
@@ -73,3 +73,17 @@
     first_start.hear(Identity::of_seed(address(2)), address(2), Past::Initial);
     assert_eq!(first_start.verdict(PATIENCE), Verdict::Open);
 }
+
+/// One that hasn't become a member yet would take the votes of a majority for a sign that its disk was lost.
+#[test]
+fn a_new_member_votes_once_all_are_members_or_after_a_while_a_majority() {
+    let mut first_start = first_start(3);
+    first_start.is_member = true;
+    assert!(!first_start.may_vote(SOON));
+    first_start.hear(Identity::of_seed(address(1)), address(1), Past::Initial);
+    first_start.hear(Identity::of_seed(address(2)), address(2), Past::Blank);
+    assert!(!first_start.may_vote(SOON), "the third is not one yet");
+    assert!(first_start.may_vote(PATIENCE));
+    first_start.hear(Identity::of_seed(address(2)), address(2), Past::Initial);
+    assert!(first_start.may_vote(SOON));
+}
--- a/crates/register/src/node/bootstrap.rs
+++ b/crates/register/src/node/bootstrap.rs
@@ -16,7 +16,9 @@
         if self.acceptor.has_voted() || self.learner.ballot() > Ballot::ZERO {
             return Past::Changed;
         }
-        match self.acceptor.is_blank() {
+        // Before the record of a new member is durable, a kill would make it blank again.
+        let is_new = self.first_start.as_ref().is_some_and(|first_start| !first_start.has_returned);
+        match self.acceptor.is_blank() || is_new && self.acceptor.awaits_first_record() {
             true => Past::Blank,
             false => Past::Initial,
         }
@@ -34,7 +36,7 @@
         let Some(first_start) = &mut self.first_start else { return };
         if first_start.is_member {
             let is_changed = self.learner.ballot() > Ballot::ZERO;
-            if is_changed || first_start.has_majority() {
+            if is_changed || first_start.may_vote(now) {
                 self.first_start = None;
                 self.read(now);
             }
