--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -45,10 +45,6 @@
     /// It is to be closed once it waits for no answer; nothing is read any more.
     close_after: Cell<bool>,
     read_out: Cell<bool>,
-    /// It has been answered for the last time: that answer said that it closes.
-    last_answered: Cell<bool>,
-    /// A request came behind that answer.
-    refused: Cell<bool>,
     /// What has been read of it ahead of the request in hand.
     ahead: ReadAhead,
     /// When bytes last came.
@@ -67,7 +63,6 @@
     pub(crate) fn new(clock: Clock, limits: Rc<Cell<ClientLimits>>) -> Rc<Self> {
         let (asked, left, answered, begun) = Default::default();
         let (whole, spoilt, close_after, read_out) = Default::default();
-        let (last_answered, refused) = Default::default();
         let (moved, close) = Default::default();
         let since = Cell::new(clock.now());
         let ahead = ReadAhead::new();
@@ -81,8 +76,6 @@
             spoilt,
             close_after,
             read_out,
-            last_answered,
-            refused,
             ahead,
             moved,
             since,
@@ -199,27 +192,6 @@
         self.since.set(self.clock.now());
     }
 
-    /// An answer goes out that closes it. Guards requests behind it against being run: their client sends them again
-    /// elsewhere (RFC 9112, 9.6).
-    pub(crate) fn note_last_answer(&self) {
-        self.last_answered.set(true);
-    }
-
-    /// Whether it has been answered for the last time.
-    pub(crate) fn is_last_answered(&self) -> bool {
-        self.last_answered.get()
-    }
-
-    /// A request came behind the last answer. It ends once that is written.
-    pub(crate) fn refuse(&self) {
-        self.refused.set(true);
-    }
-
-    /// Whether a request came behind the last answer.
-    pub(crate) fn is_refused(&self) -> bool {
-        self.refused.get()
-    }
-
     /// Asks for it to be closed; one that waits for an answer when that is over.
     pub(crate) fn close(&self) {
         self.close_after.set(self.asked.get());
@@ -276,12 +248,6 @@
         self.since.set(self.clock.now());
     }
 
-    fn flushed(&self) {
-        if self.refused.get() {
-            self.close.notify_one();
-        }
-    }
-
     fn ended(&self) {
         self.left.set(true);
         self.close.notify_one();
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -205,7 +205,6 @@
                     // actix-http does not drop a handler whose client has left: this does, and what the handler
                     // holds tells the service. Idle connections are closed here too.
                     () = connection.closed() => {
-                        if connection.is_refused() { break }
                         let taken = self.is_taken(&connection);
                         // Guards clients whose request is half read against an answer that nothing more may follow.
                         if connection.has_left() || !taken && connection.has_begun() { break }
@@ -244,10 +243,6 @@
             let response = Response::with_body(StatusCode::INTERNAL_SERVER_ERROR, "no connection\n");
             return response.map_body(|_, text| AnswerBody { body: BoxBody::new(text), _in_hand: None });
         };
-        if connection.is_last_answered() {
-            connection.refuse();
-            return std::future::pending().await;
-        }
         let in_hand = connection.take_in_hand();
         let mut response = match head_bytes(&request) > connection.limits().max_header_bytes {
             true => too_large(),
@@ -258,9 +253,6 @@
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
         connection.note_answered();
-        if !response.head().keep_alive() {
-            connection.note_last_answer();
-        }
         response.map_body(|_, body| AnswerBody { body, _in_hand: Some(in_hand) })
     }
 }
--- a/crates/transport/src/sockets.rs
+++ b/crates/transport/src/sockets.rs
@@ -179,8 +179,6 @@
     fn got(&self, _bytes: &[u8]) {}
     /// No bytes are there to read at the moment.
     fn read_would_block(&self) {}
-    /// All that was to be written has been.
-    fn flushed(&self) {}
     /// The other side has closed.
     fn ended(&self) {}
 }
@@ -331,11 +329,7 @@
     }
 
     fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let polled = Pin::new(&mut self.socket.borrow_mut().stream).poll_flush(cx);
-        if polled.is_ready() {
-            self.observer.flushed();
-        }
-        polled
+        Pin::new(&mut self.socket.borrow_mut().stream).poll_flush(cx)
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
