register: one reading of who is live, of the majority of others and of the wait at a first start

Cause, on reading the change again: whether a replica has been heard was written three times (steward, its delay, the plan), and Steward::silent built the list of coordinators anew for each member, each 100 ms; FirstStart reckoned the others, their majority and the wait in two places. Ruled out: another answer anywhere; the terms are the same. Behaviour is as before.

--- a/crates/register/src/first_start.rs
+++ b/crates/register/src/first_start.rs
@@ -15,8 +15,9 @@
 //!
 //! A replica that has become a member votes only once all initial members have, or after a while a majority with it: its
 //! votes tell the others that the system had started before them, and whoever hasn't yet then takes another identity and
-//! is a member again only after a change of the set. Until then the next loss would leave no majority. The same holds for a member that comes
-//! back from its disk and has voted for nothing yet ([`FirstStart::returned`]): the others may not have started.
+//! is a member again only after a change of the set. Until then the next loss would leave no majority. A member that comes
+//! back from its disk and has voted for nothing yet ([`FirstStart::returned`]) waits for a majority, too: the others may
+//! not have started.
 //!
 //! What remains unprotected: a loss of the disks of a majority, which loses the decisions themselves; and a promise to a
 //! coordinator that is no initial member, given and lost with the disk before that coordinator's request reached any
@@ -109,13 +110,27 @@
         }
     }
 
+    /// Number of the other initial members.
+    fn others(&self) -> usize {
+        self.members.iter().filter(|member| **member != self.own).count()
+    }
+
+    /// Number of the other initial members that make a majority with this one.
+    fn majority_of_others(&self) -> usize {
+        self.members.len() / 2
+    }
+
+    /// Whether the others have been waited for long enough; the wait begins with the first question.
+    fn is_patience_over(&mut self, now: Duration) -> bool {
+        now >= *self.since.get_or_insert(now) + self.patience
+    }
+
+    /// What the others' pasts show so far.
     pub(crate) fn verdict(&mut self, now: Duration) -> Verdict {
-        let since = *self.since.get_or_insert(now);
-        let others = self.members.iter().filter(|member| **member != self.own).count();
-        let majority_of_others = self.members.len() / 2;
+        let is_patience_over = self.is_patience_over(now);
         let all_blank = self.heard.values().all(|past| *past == Past::Blank);
-        let is_likely = now >= since + self.patience && all_blank && self.heard.len() >= majority_of_others;
-        match (self.is_later, self.heard.len() == others || is_likely) {
+        let is_likely = is_patience_over && all_blank && self.heard.len() >= self.majority_of_others();
+        match (self.is_later, self.heard.len() == self.others() || is_likely) {
             (true, _) => Verdict::Later,
             (false, true) => Verdict::First,
             (false, false) => Verdict::Open,
@@ -124,10 +139,8 @@
 
     /// Whether this member may vote: all initial members are members, or after a while a majority of them is.
     pub(crate) fn may_vote(&mut self, now: Duration) -> bool {
-        let since = *self.since.get_or_insert(now);
-        let others = self.members.iter().filter(|member| **member != self.own).count();
-        let majority_suffices = self.has_returned || now >= since + self.patience;
-        let needed = if majority_suffices { self.members.len() / 2 } else { others };
+        let majority_suffices = self.is_patience_over(now) || self.has_returned;
+        let needed = if majority_suffices { self.majority_of_others() } else { self.others() };
         self.is_member && self.members_heard.len() >= needed
     }
 
--- a/crates/register/src/steward.rs
+++ b/crates/register/src/steward.rs
@@ -10,7 +10,7 @@
 use crate::operation::ReplicaChange;
 use crate::replicas::{Membership, Replica, ReplicaSet};
 use crate::settings::Settings;
-use crate::steward::plan::{Coordinator, Plan};
+use crate::steward::plan::{Coordinator, Plan, is_live};
 
 mod plan;
 #[cfg(test)]
@@ -119,8 +119,9 @@
 
     /// The members that this node has not heard for a while.
     pub fn silent(&self, now: Duration, members: &Membership) -> Vec<Identity> {
+        let coordinators = self.coordinators(now, &members.current);
         let identities = members.replicas().map(|replica| replica.identity);
-        identities.filter(|&identity| !self.is_heard(now, members, identity)).collect()
+        identities.filter(|&identity| !is_live(&coordinators, identity)).collect()
     }
 
     /// The change to be proposed now, with the replica set that it changes. One at a time; after each a pause.
@@ -170,11 +171,6 @@
         own.into_iter().filter(is_missed).collect()
     }
 
-    fn is_heard(&self, now: Duration, members: &Membership, identity: Identity) -> bool {
-        let coordinators = self.coordinators(now, &members.current);
-        coordinators.iter().any(|known| known.is(identity) && known.is_live)
-    }
-
     /// What is heard at each address, and the members that were never heard.
     fn coordinators(&self, now: Duration, set: &ReplicaSet) -> Vec<Coordinator> {
         let heard = self.entries.iter().map(|(&address, entry)| Coordinator {
@@ -200,8 +196,7 @@
             return Duration::ZERO;
         }
         let coordinators = self.coordinators(now, set);
-        let is_live = |identity| coordinators.iter().any(|known| known.is(identity) && known.is_live);
-        let live = set.replicas().iter().filter(|replica| is_live(replica.identity));
+        let live = set.replicas().iter().filter(|replica| is_live(&coordinators, replica.identity));
         let before = live.filter(|replica| !set.contains(own) || replica.identity < own).count();
         self.stagger * u32::try_from(before).unwrap_or(u32::MAX)
     }
--- a/crates/register/src/steward/plan.rs
+++ b/crates/register/src/steward/plan.rs
@@ -118,7 +118,7 @@
     }
 
     fn is_live(&self, identity: Identity) -> bool {
-        self.coordinators.iter().any(|known| known.is(identity) && known.is_live)
+        is_live(self.coordinators, identity)
     }
 
     /// Whether live members are a majority of the set before and after.
@@ -132,6 +132,11 @@
     }
 }
 
+/// Whether the replica of this identity has been heard lately.
+pub(super) fn is_live(coordinators: &[Coordinator], identity: Identity) -> bool {
+    coordinators.iter().any(|known| known.is(identity) && known.is_live)
+}
+
 fn swap(leaves: &Replica, enters: &Replica) -> ReplicaChange {
     ReplicaChange::Swap { leaves: leaves.identity, enters: enters.clone() }
 }
