--- /dev/null
+++ b/crates/lab/src/days/tests.rs
@@ -0,0 +1,105 @@
+//! Reports are read, plays are ordered and listed. No bench is needed.
+
+use super::*;
+
+const HEADING: &str = "day                  own/srv  score  worth served refused failed  weakest part\n";
+
+fn printed(row: &str, rest: &str) -> String {
+    format!("built in 0.4 s; 40869 lines in 320 files\n{HEADING}{row}\n\n{rest}snapshot ffc934d2\n")
+}
+
+fn rules(report: &Report) -> Vec<(&str, u64)> {
+    report.broken.iter().map(|(name, count)| (name.as_str(), *count)).collect()
+}
+
+#[test]
+fn a_sound_day_has_its_worth_and_nothing_broken() {
+    let row = "cut-twenty-seconds     11/16   1.00  0.800  0.961   0.004  0.012  worst windows 0.67; prices 0.094, most \
+               for machine-seconds";
+    let report = report::read(&printed(row, "")).expect("a report");
+    assert_eq!(report, Report { worth: 0.8, broken: vec![], short: vec![] });
+    assert!(report.is_clean());
+}
+
+#[test]
+fn broken_rules_are_read_with_their_counts() {
+    let row = "trouble-1              10/13   0.00  0.281  0.686   0.308  0.007  worst windows 0.00; prices 0.211, most \
+               for worth refused again  BROKEN: CONFIG 11, RECOVER 1 (else 0.00)";
+    let report = report::read(&printed(row, "")).expect("a report");
+    assert_eq!(rules(&report), [("CONFIG", 11), ("RECOVER", 1)]);
+    assert_eq!(report.worth, 0.281);
+    assert!(!report.is_clean());
+}
+
+#[test]
+fn a_fault_and_a_missed_gate_are_read() {
+    let row = "quiet-1                10/13   0.00  -0.053  0.000   0.000  1.000  whole day 0.00; prices 0.053, most for \
+               machine-seconds  BROKEN: fault (else 0.00)";
+    let rest = "short of the gate: fault: no request was served\nshort of the gate: 0.00 of the worth owed was earned\n";
+    let report = report::read(&printed(row, rest)).expect("a report");
+    assert_eq!(rules(&report), [("fault", 1)]);
+    assert_eq!(report.worth, -0.053);
+    assert_eq!(report.short, ["fault: no request was served", "0.00 of the worth owed was earned"]);
+}
+
+#[test]
+fn a_day_whose_name_has_blanks_is_read() {
+    let row = "mix --seed 465257939546     10/13   0.00  0.879  0.967   0.000  0.002  worst class 0.82; prices 0.048, \
+               most for processor seconds  BROKEN: CONFIG 5 (else 0.88)";
+    let report = report::read(&printed(row, "")).expect("a report");
+    assert_eq!((report.worth, rules(&report)), (0.879, vec![("CONFIG", 5)]));
+}
+
+#[test]
+fn what_is_no_report_is_told_by_its_last_line() {
+    let problem = "built in 0.4 s\nthe run did not finish\n";
+    assert_eq!(report::read(problem), Err("the run did not finish".into()));
+    assert_eq!(report::read(""), Err("nothing was printed".into()));
+    assert!(report::read(HEADING).is_err());
+    assert!(report::read(&printed("a line without counts", "")).is_err());
+    let uncounted = "day  1/2  0.0  0.5  1  0  0  BROKEN: CONFIG some (else 0.1)";
+    assert!(report::read(&printed(uncounted, "")).is_err());
+}
+
+#[test]
+fn each_day_is_played_once_before_any_is_played_again() {
+    let days = Days {
+        bench: "bench".into(),
+        sites: vec!["x/a.toml".into(), "b.toml".into()],
+        days: vec!["one.toml".into(), "two.toml".into()],
+        first_seed: 7,
+        seeds: 2,
+        jobs: 1,
+        no_cpu: false,
+        why: String::new(),
+        out: "out".into(),
+    };
+    let order: Vec<String> =
+        plays(&days).iter().map(|p| p.kept(&days.out).to_string_lossy().into_owned()).collect();
+    let first = ["out/a/one/7.txt", "out/b/one/7.txt", "out/a/two/7.txt", "out/b/two/7.txt"];
+    assert_eq!(order[..4], first);
+    assert_eq!(order[4..].len(), 4);
+    assert_eq!(order[4], "out/a/one/8.txt");
+}
+
+#[test]
+fn the_list_names_what_broke_and_counts_days() {
+    let play = |seed| Play { site: "s/small.toml".into(), day: "d/cut.toml".into(), seed };
+    let report = |worth, broken: &[(&str, u64)]| Report {
+        worth,
+        broken: broken.iter().map(|(name, count)| (name.to_string(), *count)).collect(),
+        short: vec![],
+    };
+    let results = [
+        (play(1), Ok(report(0.8, &[]))),
+        (play(2), Ok(report(0.7, &[("CONFIG", 3)]))),
+        (play(3), Err("the run did not finish".into())),
+    ];
+    assert_eq!(
+        list(&results),
+        "cut on small, seed 2: worth 0.700, CONFIG 3\n\
+         cut on small, seed 3: no report: the run did not finish\n\
+         day  site   seeds  broken  short  no report  mean worth\n\
+         cut  small      2       1      0          1       0.750\n"
+    );
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 mod compare;
+mod days;
 mod files;
 mod hunt;
 mod membership;
@@ -132,6 +133,9 @@
         #[arg(long)]
         out: PathBuf,
     },
+    /// Plays days of the system on the operators' bench, over seeds, and lists what broke. Plays that are kept from an
+    /// earlier call aren't repeated. Ends with 1 where a rule was broken or a play gave no report.
+    Days(days::Days),
 }
 
 #[derive(Args)]
@@ -206,6 +210,7 @@
             membership::run(&membership::Trial { members, loss, seconds, seed, json })
         }
         Command::Demo { proxy } => stage::run(stage::Play { scenario: None, proxy, json: None, logs: None }),
+        Command::Days(days) => days::run(&days),
         Command::Hunt { scenario, seeds, minutes, policy, reference, gap, out } => {
             let base = scenario.map(|path| load(&path)).transpose()?.map(|l| l.scenario);
             hunt::run(&hunt::Hunt { base, seeds, minutes, policy, reference, gap, out })
--- a/crates/lab/tests/commands.rs
+++ b/crates/lab/tests/commands.rs
@@ -137,3 +137,72 @@
     assert_eq!(out.status.code(), Some(0), "{}{}", text(&out.stdout), text(&out.stderr));
     assert!(text(&out.stdout).contains("60 of 60 seeds played"), "{}", text(&out.stdout));
 }
+
+/// A stand-in for the operators' bench: notes its call and prints a report that breaks a rule with seed 2.
+#[cfg(unix)]
+fn stand_in_bench(folder: &Path) -> String {
+    use std::os::unix::fs::PermissionsExt;
+    let path = folder.join("bench");
+    let script = format!(
+        "#!/bin/sh\n\
+         echo \"$*\" >> {}/calls\n\
+         case \"$*\" in *'--seed 2 '*) broken='  BROKEN: CONFIG 3 (else 0.92)';; esac\n\
+         echo 'day  own/srv  score  worth served refused failed  weakest part'\n\
+         echo \"cut  11/16   1.00  0.800  0.961   0.004  0.012  worst windows 0.67$broken\"\n",
+        folder.display()
+    );
+    std::fs::write(&path, script).expect("written");
+    std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o755)).expect("set");
+    path.to_string_lossy().into_owned()
+}
+
+#[cfg(unix)]
+#[test]
+fn days_are_played_once_and_broken_rules_are_listed() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let bench = stand_in_bench(folder.path());
+    let out = folder.path().join("out").to_string_lossy().into_owned();
+    let play = |seeds: &str| {
+        let given = ["--bench", &bench, "--site", "small.toml", "--seeds", seeds, "--jobs", "2"];
+        lab(&[&["days", "cut.toml", "--why", "a test", "--out", &out], &given[..]].concat())
+    };
+    let calls = || {
+        std::fs::read_to_string(folder.path().join("calls"))
+            .expect("calls")
+            .lines()
+            .map(String::from)
+            .collect::<Vec<_>>()
+    };
+
+    let sound = play("1");
+    assert_eq!(sound.status.code(), Some(0), "{}", text(&sound.stderr));
+    assert_eq!(calls(), ["run small.toml cut.toml --jobs 1 --seed 1 --why a test"]);
+
+    let broken = play("3");
+    assert_eq!(broken.status.code(), Some(1), "{}", text(&broken.stderr));
+    assert!(text(&broken.stdout).starts_with("cut on small, seed 2: worth 0.800, CONFIG 3\n"), "{broken:?}");
+    assert_eq!(calls().len(), 3, "what is kept is not played again");
+
+    play("3");
+    assert_eq!(calls().len(), 3);
+}
+
+#[test]
+fn a_bench_that_is_not_there_is_told() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let out = folder.path().join("out").to_string_lossy().into_owned();
+    let told = lab(&[
+        "days",
+        "cut.toml",
+        "--bench",
+        "/nowhere/bench",
+        "--site",
+        "s.toml",
+        "--why",
+        "-",
+        "--out",
+        &out,
+    ]);
+    assert_eq!(told.status.code(), Some(2));
+    assert!(text(&told.stderr).contains("/nowhere/bench"), "{told:?}");
+}
