Links to peers that just start are dialed anew within 0.2 s

Cause: after all machines lost power, coordinators that came up first dialed those that came up 0.2 to 0.35 s later into the dark.

Change: link::connect starts a further connection each 0.2 s beside the earlier ones and takes the first that comes up; a coordinator that is called by another calls it back without its pause, and asks for a majority as soon as a link is up that may have been missing. Ruled out: the disk (coordinators serve 0.1 s after power), the register's rounds (few ms).

--- a/crates/coordinator/src/links.rs
+++ b/crates/coordinator/src/links.rs
@@ -55,9 +55,14 @@
 }
 
 async fn keep_calling(state: Shared, address: SocketAddr) {
+    let present = state.borrow_mut().presence(address);
     loop {
         let _ = call(&state, address).await;
-        tokio::time::sleep(RETRY).await;
+        tokio::select! {
+            () = tokio::time::sleep(RETRY) => {}
+            // It has called here: it listens by now.
+            () = present.notified() => {}
+        }
     }
 }
 
@@ -94,6 +99,9 @@
     let (to, mut queue) = mpsc::unbounded_channel();
     let number = state.borrow_mut().subscribe(to, hello.coordinator.is_some());
     add(&state, hello.coordinator.as_slice());
+    if let Some(coordinator) = hello.coordinator {
+        state.borrow_mut().presence(coordinator).notify_one();
+    }
     let outcome: Result<()> = async {
         loop {
             tokio::select! {
--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use ironmast_catalog::{Catalog, Merged, Micros, Patience};
@@ -12,7 +13,7 @@
 use ironmast_schema::registration::Heartbeat;
 use ironmast_schema::settings::Settings;
 use slog::Logger;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 
 use crate::confirm::Confirmations;
 use crate::disk::Persisted;
@@ -114,6 +115,8 @@
     subscribers: BTreeMap<u64, (Subscriber, bool)>,
     next_subscriber: u64,
     pub(crate) coordinators: BTreeSet<SocketAddr>,
+    /// Told when another coordinator has called this one.
+    presences: BTreeMap<SocketAddr, Rc<Notify>>,
 }
 
 impl State {
@@ -142,6 +145,7 @@
             subscribers: BTreeMap::new(),
             next_subscriber: 0,
             coordinators: BTreeSet::new(),
+            presences: BTreeMap::new(),
         }
     }
 
@@ -268,10 +272,21 @@
         self.replica.members().is_some_and(|members| linked + 1 > members)
     }
 
-    /// A link to another coordinator is up: what is sent there goes into this queue.
+    /// A link to another coordinator is up: what is sent there goes into this queue. Out of contact the new link may
+    /// be the one that was missing, so that a majority is asked for at once.
     pub fn linked(&mut self, to: SocketAddr, queue: mpsc::UnboundedSender<ToCoordinator>) {
         self.send_unconfirmed(&queue);
         self.outgoing.insert(to, queue);
+        if self.standing != Standing::InContact {
+            let effects = self.replica.question();
+            self.carry_out(effects);
+            self.observe();
+        }
+    }
+
+    /// Told when another coordinator has called this one, which then may call it without delay.
+    pub fn presence(&mut self, of: SocketAddr) -> Rc<Notify> {
+        Rc::clone(self.presences.entry(of).or_default())
     }
 
     /// Another coordinator has become known; true where it is new.
--- a/crates/transport/src/link.rs
+++ b/crates/transport/src/link.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use eyre::{Result, WrapErr as _, bail};
-use futures_util::stream::{SplitSink, SplitStream};
+use futures_util::stream::{FuturesUnordered, SplitSink, SplitStream};
 use futures_util::{SinkExt as _, StreamExt as _};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -22,6 +22,10 @@
 /// A connection whose peer acknowledges nothing for this long has failed.
 const SILENCE: Duration = Duration::from_secs(2);
 
+/// A connection that is not up after this is tried anew, beside the earlier tries. The system itself sends a lost first
+/// packet again only after a second, while a peer that gets its power back may listen within a tenth of that.
+const DIAL_AGAIN: Duration = Duration::from_millis(200);
+
 type Frames = Framed<TcpStream, FrameCodec>;
 
 /// The half that receives messages of type `M`.
@@ -38,12 +42,12 @@
     message: PhantomData<M>,
 }
 
-/// Connects to a peer.
+/// Connects to a peer, which may only just be starting.
 ///
 /// # Errors
 /// The step and the peer.
 pub async fn connect<In, Out>(peer: SocketAddr, within: Duration) -> Result<(Receiver<In>, Sender<Out>)> {
-    let connecting = tokio::time::timeout(within, TcpStream::connect(peer));
+    let connecting = tokio::time::timeout(within, dial(peer));
     let stream = match connecting.await {
         Ok(stream) => stream.wrap_err_with(|| format!("connecting to {peer}"))?,
         Err(_) => bail!("connecting to {peer}: no answer within {within:?}"),
@@ -51,6 +55,18 @@
     split(stream).wrap_err_with(|| format!("setting up the link to {peer}"))
 }
 
+/// The first connection to a peer that comes up or is refused.
+async fn dial(peer: SocketAddr) -> io::Result<TcpStream> {
+    let mut tries = FuturesUnordered::new();
+    loop {
+        tries.push(TcpStream::connect(peer));
+        tokio::select! {
+            Some(outcome) = tries.next() => return outcome,
+            () = tokio::time::sleep(DIAL_AGAIN) => {}
+        }
+    }
+}
+
 /// Makes a link of a connection.
 ///
 /// # Errors
--- a/crates/transport/tests/link.rs
+++ b/crates/transport/tests/link.rs
@@ -74,3 +74,22 @@
     assert_eq!(sockopt::tcp_user_timeout(&same).expect("told"), 2_000);
     drop(dialed);
 }
+
+/// A peer whose backlog is full answers nothing, as one without power. The system tries again after a second.
+#[tokio::test]
+async fn a_peer_that_was_not_there_is_dialed_anew_within_a_second() {
+    let socket = tokio::net::TcpSocket::new_v4().expect("a descriptor is free");
+    socket.bind((Ipv4Addr::LOCALHOST, 0).into()).expect("a port is free");
+    let listener = socket.listen(0).expect("bound");
+    let address = listener.local_addr().expect("bound");
+    let first = TcpStream::connect(address).await.expect("it takes one");
+    let connecting = link::connect::<(), ()>(address, WITHIN);
+    tokio::pin!(connecting);
+    let silent = tokio::time::timeout(Duration::from_millis(1), &mut connecting);
+    assert!(silent.await.is_err(), "a full backlog drops the first packet");
+    let there = std::time::Instant::now();
+    listener.accept().await.expect("the first");
+    connecting.await.expect("it is there again");
+    assert!(there.elapsed() < Duration::from_millis(700), "{:?}", there.elapsed());
+    drop(first);
+}
