Gate: requests that come before the first configuration wait for it

Change: while a configuration is still expected after a start (1.3 s), a request is held until the table is in force; later it is refused at once as before. The table is in force before anybody is told. Turned down: refusing what has time to come back, which earns the mean of both worths, but only where the moment is known to a tenth of a second.

The test a_request_that_comes_before_the_configuration_waits_for_it gets a 503 without the wait.

--- a/crates/gate/src/feed.rs
+++ b/crates/gate/src/feed.rs
@@ -88,12 +88,16 @@
     if let Some(limits) = known.client_limits() {
         set_limits(client_limits(limits));
     }
-    if !gate.configured.replace(known.configuration().is_some()) && gate.configured.get() {
-        info!(gate.log, "a configuration is in force"; "routes" => table.router().len());
-    }
     tell_servers(gate, &before, &table);
     gate.peers.replace(known.peers(&gate.settings.borrow()));
+    let routes = table.router().len();
     gate.swap(table, known.gates());
+    // Requests may wait for it: only now that the table is in force.
+    let configured = known.configuration().is_some();
+    if !gate.set_configured(configured) && configured {
+        info!(gate.log, "a configuration is in force"; "routes" => routes);
+        gate.status_changed.notify_one();
+    }
 }
 
 /// How many servers are listed, and how many of them are silent, draining or in an evacuated zone.
--- a/crates/gate/src/front.rs
+++ b/crates/gate/src/front.rs
@@ -16,7 +16,7 @@
 
 use crate::answer;
 use crate::exchange;
-use crate::gate::Gate;
+use crate::gate::{CONFIGURED_SOON, Gate};
 use crate::head::{self, Forward, Hints};
 
 /// This gate ends: another takes the request at once.
@@ -48,8 +48,8 @@
         };
         let active = connection.request();
         active.set_whole(true);
-        if !self.gate.configured.get() {
-            let wait = format!("{:.3}", self.gate.configured_in().as_secs_f64());
+        if !self.gate.until_configured().await {
+            let wait = format!("{:.3}", CONFIGURED_SOON.as_secs_f64());
             return answer::refused(StatusCode::SERVICE_UNAVAILABLE.as_u16(), &wait);
         }
         let Some(route) = self.route(&request) else { return Response::new(StatusCode::NOT_FOUND) };
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -12,7 +12,7 @@
 use ironmast_transport::clock::Clock;
 use rustc_hash::FxHashMap;
 use slog::Logger;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 
 use crate::limits::Limits;
 use crate::upstream::Upstream;
@@ -25,7 +25,7 @@
 /// After a start a configuration mostly comes within this.
 const CONFIGURED_WITHIN: Micros = 1_300_000;
 /// And if it has not come by then, it may at any time: it is worth asking again after this.
-const CONFIGURED_SOON: Micros = 400_000;
+pub const CONFIGURED_SOON: Duration = Duration::from_millis(400);
 
 /// The state of a gate.
 pub struct Gate {
@@ -44,7 +44,7 @@
     /// When it started.
     started: Micros,
     /// A configuration is known.
-    pub configured: Cell<bool>,
+    configured: watch::Sender<bool>,
     /// When it was told to end.
     pub ending: Cell<Option<Micros>>,
     /// The agent is to be told anew whether this gate is ready.
@@ -73,7 +73,7 @@
             decider: RefCell::new(decider),
             limits: RefCell::new(limits),
             upstream,
-            configured: Cell::new(false),
+            configured: watch::Sender::new(false),
             ending: Cell::new(None),
             status_changed: Notify::new(),
             peers: RefCell::default(),
@@ -83,13 +83,25 @@
 
     /// Whether it takes new clients.
     pub fn is_ready(&self) -> bool {
-        self.ending.get().is_none() && self.configured.get()
+        self.ending.get().is_none() && self.is_configured()
     }
 
-    /// How long it may be until a configuration is known, where none is.
-    pub fn configured_in(&self) -> Duration {
-        let expected = self.started.saturating_add(CONFIGURED_WITHIN);
-        Duration::from_micros(expected.saturating_sub(self.clock.now()).max(CONFIGURED_SOON))
+    /// Whether a configuration is known.
+    pub fn is_configured(&self) -> bool {
+        *self.configured.borrow()
+    }
+
+    /// A configuration is known, or is not any more; returns what held before.
+    pub fn set_configured(&self, configured: bool) -> bool {
+        self.configured.send_replace(configured)
+    }
+
+    /// Waits for a configuration while one may come soon after the start; true where one is known.
+    pub async fn until_configured(&self) -> bool {
+        let mut configured = self.configured.subscribe();
+        let expected = self.clock.at(self.started.saturating_add(CONFIGURED_WITHIN));
+        let known = configured.wait_for(|configured| *configured);
+        matches!(tokio::time::timeout_at(expected.into(), known).await, Ok(Ok(_)))
     }
 
     /// Puts another table in force.
--- a/crates/gate/tests/lifecycle.rs
+++ b/crates/gate/tests/lifecycle.rs
@@ -18,6 +18,25 @@
     });
 }
 
+#[test]
+fn a_request_that_comes_before_the_configuration_waits_for_it() {
+    play(async {
+        let mut server = Server::start("i-1").await;
+        let mut stage = Stage::start_without_configuration().await;
+        let mut client = stage.client().await;
+        client.ask("/unsafe/a", "r1", "").await;
+        // Its head is read by the time at which the gate has answered another.
+        let mut checks = Client::connect(stage.readiness).await;
+        checks.write("GET /api/readyz HTTP/1.1\r\nHost: x\r\n\r\n").await;
+        assert!(checks.answer().await.0.starts_with("http/1.1 503"));
+        stage.configure(&[(&server.instance, server.address, HERE)]).await;
+        server.asked().await.answer("200 OK", "", "served").await;
+        let (head, body) = client.answer().await;
+        assert!(head.starts_with("http/1.1 200"), "{head}");
+        assert_eq!(body, "served");
+    });
+}
+
 #[test]
 fn a_path_without_a_route_is_not_found() {
     play(async {
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -78,13 +78,18 @@
     /// The same with servers of another kind: their ids, addresses and zones.
     pub async fn start_at(servers: &[(&str, SocketAddr, &str)]) -> Self {
         let mut stage = Stage::start_without_configuration().await;
+        stage.configure(servers).await;
+        stage
+    }
+
+    /// Tells it the configuration and these servers.
+    pub async fn configure(&mut self, servers: &[(&str, SocketAddr, &str)]) {
         let listed =
             servers.iter().map(|&(id, address, zone)| listed(id, address, zone, 1, Standing::Present));
         let control = ControlState { configuration: Some(configuration()), evacuated: Vec::new() };
         let control = Entry { key: Key::Control, version: 1, value: Value::Control(control) };
-        stage.tell(listed.chain([control]).collect()).await;
-        stage.until_ready(true).await;
-        stage
+        self.tell(listed.chain([control]).collect()).await;
+        self.until_ready(true).await;
     }
 
     /// A gate that its agent has told nothing.
