Cold servers are used by the gates of their region, however many gates there are

Cause: each gate had the bound of a cold server divided by all gates, rounded down: 38 over 77 gates is nothing, so that a released or returned server stood unused for its 3 s while its even share of the load was a third of the bound.

Change: limits::tier divides the bound without a word between gates. What an even division leaves over, less an eighth that nobody holds, goes to the gates of the server's own region, evenly and then by rendezvous rank of gate and instance. No gate holds more than an eighth of the bound, however few others it knows. Gates that are not heard of any more still count. Turned down for now: permits from an owner under a fencing token (crate limits), which cost messages for each cold server.

--- a/crates/gate/src/feed.rs
+++ b/crates/gate/src/feed.rs
@@ -55,7 +55,7 @@
             biased;
             () = async { tokio::time::sleep_until(due.unwrap_or_else(Instant::now)).await }, if due.is_some() => {
                 rebuild_at = None;
-                rebuild(gate, known, set_limits);
+                rebuild(gate, frontend, known, set_limits);
             }
             frame = receiver.next() => {
                 let Some(ToGate::Entries(entries)) = frame? else { bail!("{agent} closed the link") };
@@ -79,7 +79,7 @@
     }
 }
 
-fn rebuild(gate: &Gate, known: &mut Known, set_limits: &impl Fn(ClientLimits)) {
+fn rebuild(gate: &Gate, frontend: SocketAddr, known: &mut Known, set_limits: &impl Fn(ClientLimits)) {
     let before = gate.decider.borrow().table().clone();
     let table = match known.next(&gate.settings.borrow(), &before) {
         Ok(table) => table,
@@ -91,7 +91,8 @@
     tell_servers(gate, &before, &table);
     gate.peers.replace(known.peers(&gate.settings.borrow()));
     let routes = table.router().len();
-    gate.swap(table, known.gates());
+    let tier = known.tier(&gate.settings.borrow(), frontend);
+    gate.swap(table, tier);
     // Requests may wait for it: only now that the table is in force.
     let configured = known.configuration().is_some();
     if !gate.set_configured(configured) && configured {
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ironmast_limits::Tier;
 use ironmast_routing::{Decider, Dispatch, Micros, ServerSpec, ServerState, Table};
 use ironmast_schema::settings::Settings;
 use ironmast_transport::attempt::Admission;
@@ -105,12 +106,12 @@
     }
 
     /// Puts another table in force.
-    pub fn swap(&self, table: Table, gates: u32) {
+    pub fn swap(&self, table: Table, tier: Tier) {
         let now = self.clock.now();
         let takes = |server: &&Arc<ServerSpec>| server.state == ServerState::Ready && !server.evacuated;
         let open = table.servers().iter().filter(takes);
         self.open.replace(open.map(|server| (server.instance.clone(), server.clone())).collect());
-        self.limits.borrow_mut().set(now, gates, table.services());
+        self.limits.borrow_mut().set(now, tier, table.services());
         let addresses: rustc_hash::FxHashSet<_> =
             table.servers().iter().map(|server| server.address).collect();
         self.upstream.keep(|address| addresses.contains(address));
--- a/crates/gate/src/limits.rs
+++ b/crates/gate/src/limits.rs
@@ -1,15 +1,13 @@
-//! The limits that hold over all gates together, as the decisions ask for them: this gate's even part of each.
+//! The limits that hold over all gates together, as the decisions ask for them: this gate's part of each.
 
 use std::sync::Arc;
 use std::time::Duration;
 
-use ironmast_limits::{ColdLimiter, ColdTracker, Report, RetryTerms, cold_bound};
+use ironmast_limits::{ColdLimiter, ColdTracker, Report, RetryTerms, Tier, cold_bound};
 use ironmast_routing::{Micros, Permits, RetryBudget, ServerSpec, ServiceSpec, Wait};
 use ironmast_schema::settings::TimingBounds;
 use rustc_hash::{FxHashMap, FxHashSet};
 
-/// Gates that are counted on at least: some may not be known yet.
-pub const GATES_LEAST: u32 = 8;
 /// A permit holds for a send within this; one that is later needs another.
 const PERMIT_HOLDS: Micros = 40_000;
 /// The wait where none is known.
@@ -21,7 +19,9 @@
 pub struct Limits {
     overshoot: f64,
     tolerance: f64,
+    /// Gates that repeats are divided by.
     gates: u32,
+    tier: Tier,
     started: Duration,
     /// By service: the bound of one server, and what this gate has sent.
     cold: FxHashMap<Arc<str>, (u32, ColdLimiter<Arc<str>>)>,
@@ -41,27 +41,29 @@
             burst: bounds.retry_burst as u32,
             window: Duration::from_secs_f64(bounds.retry_window_s),
         };
+        let tier = Tier::default();
         Limits {
             overshoot: bounds.warmup_overshoot,
             tolerance: bounds.warmup_tolerance,
-            gates: GATES_LEAST,
+            gates: tier.size(),
+            tier,
             started,
             cold: FxHashMap::default(),
             tracker: ColdTracker::default(),
             disturbed: FxHashSet::default(),
-            retry: ironmast_limits::RetryBudget::local(terms, GATES_LEAST, started),
+            retry: ironmast_limits::RetryBudget::local(terms, Tier::default().size(), started),
             terms,
         }
     }
 
-    /// The services in force and the number of gates.
-    pub fn set(&mut self, now: Micros, gates: u32, services: &[ServiceSpec]) {
-        // It only grows: a gate that is not heard of may still send.
-        let gates = gates.max(self.gates);
+    /// The services in force and the gates, those that are not heard of among them: they may still send.
+    pub fn set(&mut self, now: Micros, tier: Tier, services: &[ServiceSpec]) {
+        let gates = tier.size().max(self.gates);
         if gates != self.gates {
             self.retry = ironmast_limits::RetryBudget::local(self.terms, gates, span(now));
         }
         self.gates = gates;
+        self.tier = tier;
         self.cold.retain(|name, _| services.iter().any(|service| service.name == *name));
         for service in services {
             let bound = cold_bound(service.warmup_per_s, self.overshoot, self.tolerance);
@@ -70,8 +72,8 @@
                 continue;
             }
             let fresh = || (bound, ColdLimiter::static_share(bound, gates, self.started));
-            let (_, limiter) = self.cold.entry(service.name.clone()).or_insert_with(fresh);
-            limiter.set_share(bound, gates);
+            let (known, _) = self.cold.entry(service.name.clone()).or_insert_with(fresh);
+            *known = bound;
         }
     }
 
@@ -132,14 +134,15 @@
 impl Permits for Limits {
     fn take(&mut self, now: Micros, server: &ServerSpec) -> Result<(), Wait> {
         let cold = self.is_cold(now, server);
-        let Some((_, limiter)) = self.cold.get_mut(&server.service) else { return Ok(()) };
+        let Some((bound, limiter)) = self.cold.get_mut(&server.service) else { return Ok(()) };
         if !cold {
             // It may turn out to be cold: what it got by then counts.
             limiter.record(span(now), &server.instance);
             return Ok(());
         }
         let wait = |wait: ironmast_limits::Wait| wait.after(span(now)).map_or(WAIT_UNKNOWN, micros);
-        limiter.try_take(span(now), &server.instance).map_err(|told| Wait(wait(told)))
+        let permits = self.tier.permits(*bound, &server.region, &server.instance);
+        limiter.try_take_of(span(now), &server.instance, permits).map_err(|told| Wait(wait(told)))
     }
 }
 
--- a/crates/gate/src/limits/tests.rs
+++ b/crates/gate/src/limits/tests.rs
@@ -33,11 +33,16 @@
     }
 }
 
+/// So many gates, all but the first, which is this one, in the servers' region.
+fn gates(count: u64) -> Tier {
+    Tier::new(0, (0..count).map(|gate| (if gate == 0 { "elsewhere" } else { "r" }.into(), gate)).collect())
+}
+
 /// Limits of 10 a second, by 1.5 and 5 more, with 16 gates: 1 for each.
 fn limits() -> Limits {
     let bounds = TimingBounds { warmup_overshoot: 1.5, warmup_tolerance: 5.0, ..TimingBounds::default() };
     let mut limits = Limits::new(&bounds, START);
-    limits.set(START, 16, &[service("cold", 10.0), service("plain", 0.0)]);
+    limits.set(START, gates(16), &[service("cold", 10.0), service("plain", 0.0)]);
     limits
 }
 
@@ -96,14 +101,6 @@
     assert!(limits.may_write(now + 2 * SECOND, now, &server));
 }
 
-#[test]
-fn a_gate_that_is_not_heard_of_any_more_keeps_its_part() {
-    let mut limits = limits();
-    limits.set(START, 1, &[service("cold", 20.0)]);
-    // 35 a second over 16 gates.
-    assert_eq!(taken(&mut limits, START + 2 * SECOND, &server("i", "cold")), 2);
-}
-
 #[test]
 fn repeats_stay_within_this_gates_part() {
     let mut limits = limits();
--- a/crates/gate/src/table.rs
+++ b/crates/gate/src/table.rs
@@ -2,9 +2,10 @@
 //! in them as the decisions take them.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 
+use ironmast_limits::{GateNumber, Tier};
 use ironmast_routing::{
     Micros, RouteKind, RouteSpec, ServerSpec, ServerState, ServiceSpec, Split, Table, TableError, TableSpec,
 };
@@ -123,6 +124,21 @@
         self.entries.values().filter(there).count() as u32
     }
 
+    /// All gates that were ever told of, and the one at `own`.
+    pub fn tier(&self, settings: &Settings, own: SocketAddr) -> Tier {
+        let mut gates: BTreeMap<SocketAddr, &str> = self
+            .entries
+            .iter()
+            .filter_map(|(key, entry)| match (key, &entry.value) {
+                (Key::Gate(at), Value::Gate(gate)) => Some((*at, gate.region.as_str())),
+                _ => None,
+            })
+            .collect();
+        gates.insert(own, &settings.region);
+        let gates = gates.into_iter().map(|(at, region)| (region.into(), gate_number(at)));
+        Tier::new(gate_number(own), gates.collect())
+    }
+
     /// Where the other gates of the region hear each other.
     pub fn peers(&self, settings: &Settings) -> Vec<SocketAddr> {
         let port = settings.internal_port(InternalPort::Gate);
@@ -190,6 +206,15 @@
     }
 }
 
+/// A gate's number, the same at all gates: its address.
+fn gate_number(frontend: SocketAddr) -> GateNumber {
+    let ip = match frontend.ip() {
+        IpAddr::V4(ip) => u64::from(ip.to_bits()),
+        IpAddr::V6(ip) => ip.to_bits() as u64,
+    };
+    ip << u16::BITS | u64::from(frontend.port())
+}
+
 fn spec(configuration: &Configuration, gates: u32, servers: Vec<ServerSpec>) -> TableSpec {
     let routes = configuration.routes.iter().map(route).collect();
     let services = configuration.services.iter().map(service).collect();
--- a/crates/gate/src/table/tests.rs
+++ b/crates/gate/src/table/tests.rs
@@ -111,3 +111,18 @@
     assert_matches!(table, Ok(table) if table.router().is_empty());
     assert_eq!(known.configuration(), None);
 }
+
+/// The agent may not hear of a gate that still sends.
+#[test]
+fn a_gate_that_is_not_heard_of_any_more_keeps_its_part() {
+    let own: SocketAddr = ([10, 0, 0, 1], 80).into();
+    let mut known = Known::default();
+    let others = 81..=96;
+    known.merge(5, others.clone().map(|port| gate(port, false)).collect());
+    let before = known.tier(&settings(), own);
+    // 17 gates of one region: an even part of 35 is 2.
+    assert_eq!((before.size(), before.permits(35, "south", "i-1")), (17, 2));
+    known.merge(6, others.map(|port| Entry { version: 2, ..gate(port, true) }).collect());
+    assert_eq!(known.gates(), 0);
+    assert_eq!(known.tier(&settings(), own), before);
+}
--- a/crates/limits/src/lib.rs
+++ b/crates/limits/src/lib.rs
@@ -7,8 +7,9 @@
 //! - **Retry budget**: a service gets, in any `retry_window_s`, at most `retry_budget_ratio` of its requests plus
 //!   `retry_burst` as repeats.
 //!
-//! Each gate has a part of either bound that needs nobody else ([`ColdLimiter`], [`RetryBudget`]); it is the bound
-//! divided by the largest number of gates that can exist. [`ColdTracker`] says which servers the first bound is for.
+//! Each gate has a part of either bound that needs nobody else ([`ColdLimiter`], [`RetryBudget`]): of the second the
+//! bound divided by the largest number of gates that can exist, of the first what its [`Tier`] says. [`ColdTracker`]
+//! says which servers the first bound is for.
 //!
 //! The rest of a bound is a pool that one gate's agent owns, by rendezvous hashing of the instance or service over the
 //! gates of a [`View`]. Gates ask it for permits ([`client`]); it grants them under a fencing token and a lease
@@ -40,6 +41,7 @@
 pub mod share;
 pub mod tenure;
 pub mod terms;
+pub mod tier;
 pub mod view;
 mod wait;
 pub mod window;
@@ -54,6 +56,7 @@
 pub use retry::{RetryBudget, RetryTerms};
 pub use share::{ColdLimiter, cold_bound};
 pub use terms::{Split, Terms};
+pub use tier::{GateNumber, Tier};
 pub use view::{GateId, Instance, Key, Token, View, region_number};
 pub use wait::Wait;
 pub use witness::{Installed, Outcome, Proposer, Witness};
