Directory: lost gates are forgotten after 1.3 s, cut regions name none for hosts at home elsewhere

Cause: of a region that was lost the directory named gates for 2.5 s more, and clients kept an answer for 2 s: 230 to 250 requests found no connection in four seconds.

Change: agents repeat their gate's status each 0.4 s, coordinators wait 1.3 s for it, answers hold for 1 s; a coordinator out of contact names no gate for a host whose homes leave out the client's region, so that the client asks another.

--- a/crates/agent/src/uplink.rs
+++ b/crates/agent/src/uplink.rs
@@ -30,8 +30,8 @@
 const CONNECT: Duration = Duration::from_millis(800);
 /// A link that says nothing for this long has failed.
 const SILENCE: Duration = Duration::from_millis(1_500);
-/// The gate's status is repeated this often.
-const STATUS: Duration = Duration::from_millis(700);
+/// The gate's status is repeated this often: three times within what coordinators wait for.
+const STATUS: Duration = Duration::from_millis(400);
 /// The longest wait between two searches for a coordinator in contact.
 const SEARCH_PAUSE_MOST: Duration = Duration::from_secs(2);
 
--- a/crates/coordinator/src/resolve.rs
+++ b/crates/coordinator/src/resolve.rs
@@ -87,8 +87,17 @@
 }
 
 /// The addresses for a client at a coordinator that knows of no other coordinator's news: gates of the client's region
-/// that speak to this one.
-pub fn addresses_heard_here(gates: &[Gate<'_>], query: &Query) -> Vec<SocketAddr> {
+/// that speak to this one. Where requests of the host must leave that region there are none: the region may be cut off
+/// from their homes, and another coordinator can tell who is there.
+pub fn addresses_heard_here(
+    gates: &[Gate<'_>],
+    configuration: Option<&Configuration>,
+    query: &Query,
+) -> Vec<SocketAddr> {
+    let homes = Homes::of(&query.name, configuration);
+    if configuration.is_some() && !homes.admit(&query.region) {
+        return Vec::new();
+    }
     nearest(gates, query, |gate| {
         let ready = gate.is_heard_here && gate.record.presence() == GatePresence::Ready;
         ready && gate.record.region == query.region
--- a/crates/coordinator/src/resolve/tests.rs
+++ b/crates/coordinator/src/resolve/tests.rs
@@ -141,7 +141,7 @@
     let records =
         [ready("north-b"), ready("north-a"), ready("south-a"), unready("north-a"), ready("north-c")];
     let address = |number: usize| SocketAddr::from(([10, 0, 0, number as u8], 80));
-    let heard_here = |speakers: &[usize]| {
+    let heard_by = |configuration: Option<Configuration>, speakers: &[usize]| {
         let gates: Vec<Gate<'_>> = records
             .iter()
             .enumerate()
@@ -153,12 +153,17 @@
                 is_heard_here: speakers.contains(&number),
             })
             .collect();
-        let query = Query { name: String::new(), region: "north".to_string(), zone: ZONE.to_string() };
-        addresses_heard_here(&gates, &query)
+        let name = "A.example".to_string();
+        let query = Query { name, region: "north".to_string(), zone: ZONE.to_string() };
+        addresses_heard_here(&gates, configuration.as_ref(), &query)
     };
+    let heard_here = |speakers: &[usize]| heard_by(None, speakers);
     assert_eq!(heard_here(&[0, 1, 2, 3]), [address(1)], "the client's zone first");
     assert_eq!(heard_here(&[0, 2, 4]), [address(0), address(4)], "then its region");
     assert_eq!(heard_here(&[2, 3]), [], "no other region, and none that is not ready");
+    let with_homes = |homes: &[&[&str]]| heard_by(Some(configuration(homes)), &[1]);
+    assert_eq!(with_homes(&[NORTH]), [address(1)], "at home here");
+    assert_eq!(with_homes(&[SOUTH]), [], "the region may be cut off from the homes of the host");
 }
 
 /// A gate whose last word is old may be long gone.
--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -28,7 +28,10 @@
 /// Heartbeats that a server may miss before it counts as silent.
 const HEARTBEATS_MISSED: u64 = 4;
 /// A gate that says nothing for this long gets no new clients.
-const GATE_PATIENCE: Micros = 2_500_000;
+const GATE_PATIENCE: Micros = 1_300_000;
+
+/// Clients ask again after this many seconds at the latest: so long a gate that was lost may still get their requests.
+const TTL_MOST_S: f64 = 1.0;
 
 /// Why a word isn't acknowledged.
 const OUT_OF_CONTACT: &str = "no majority of the coordinators is in contact";
@@ -130,7 +133,7 @@
     ) -> Self {
         relay.set_in_contact(false);
         let instance = settings.heartbeat_interval_ms * 1_000 * HEARTBEATS_MISSED;
-        let ttl_s = (settings.timing_bounds.ttl_max_s / 2.0).min(2.0);
+        let ttl_s = (settings.timing_bounds.ttl_max_s / 2.0).min(TTL_MOST_S);
         State {
             log: log.clone(),
             standing: Standing::Starting,
@@ -195,12 +198,10 @@
 
     fn resolve(&self, query: &resolve::Query) -> Reply {
         let gates: Vec<_> = self.catalog.gates(self.now()).collect();
+        let configuration = self.in_force.as_ref().map(|(_, configuration)| configuration);
         let addresses = match self.standing.treatment(Request::Resolve) {
-            Treatment::Everybody => {
-                let configuration = self.in_force.as_ref().map(|(_, configuration)| configuration);
-                resolve::addresses(&gates, configuration, query)
-            }
-            _ => resolve::addresses_heard_here(&gates, query),
+            Treatment::Everybody => resolve::addresses(&gates, configuration, query),
+            _ => resolve::addresses_heard_here(&gates, configuration, query),
         };
         resolve::answer(&addresses, self.ttl_s)
     }
