Gates of large regions tell each other what waits; regions that give no sign are left out

Gates told each other their unread prompts only in regions of 16 gates and fewer, so that in larger ones each knew a hundredth of a server's load. Now the pause between datagrams grows with the region, what a gate hears in a second does not; changes of less than 2 % of the objective are not told.

Tests show each fail without its guard (Quiet, DarkRegion).

--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -1,12 +1,12 @@
-//! What the gates of a region tell each other, by datagrams: the prompts that each has out and that wait to be read.
-//! A datagram holds all of it, so one that is lost is made up for by the next.
+//! What the gates of a region tell each other, by datagrams: the prompts that each has out and that wait to be read,
+//! and servers that give it no sign. A datagram holds all of it, so one that is lost is made up for by the next. In a
+//! larger region each gate tells less often, so that what a gate hears in a second does not grow with the region.
 
-use std::cell::RefCell;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
-use ironmast_routing::UnreadAt;
+use ironmast_routing::{GateNews, UnreadAt};
 use ironmast_schema::settings::InternalPort;
 use serde::{Deserialize, Serialize};
 use slog::warn;
@@ -16,15 +16,14 @@
 use crate::gate::Gate;
 
 /// The version of the datagrams.
-const VERSION: u8 = 1;
-/// News is told at most this often.
+const VERSION: u8 = 2;
+/// News is told at most this often to [`PEERS_FEW`] peers and fewer, and less often in proportion to more.
 const EVERY: Duration = Duration::from_millis(50);
+const PEERS_FEW: usize = 16;
 /// What has not changed is told again after this: peers forget it after half a second.
 const AGAIN: Duration = Duration::from_millis(250);
 /// Servers in one datagram.
 const SERVERS_MOST: usize = 64;
-/// In a region of more gates than this they do not tell each other: the traffic grows with their square.
-const PEERS_MOST: usize = 16;
 /// The longest datagram that is read, in bytes.
 const DATAGRAM_MOST: usize = 2_048;
 
@@ -34,6 +33,8 @@
     version: u8,
     /// Hashes of servers, and the tokens that wait there.
     unread: Vec<(u64, u64)>,
+    /// Hashes of servers that give no sign.
+    quiet: Vec<u64>,
 }
 
 /// Tells and hears for as long as the gate lives. A gate that can't do so serves without.
@@ -63,45 +64,56 @@
         let known = gate.peers.borrow().iter().any(|peer| peer.ip() == from.ip());
         if let Some(told) = parse(&datagram[..length]).filter(|_| known) {
             let now = gate.clock.now();
-            gate.decider.borrow_mut().told_unread(now, peer_number(from.ip()), &told);
+            gate.decider.borrow_mut().told_news(now, peer_number(from.ip()), &told);
         }
     }
 }
 
 async fn tell(gate: &Gate, socket: &UdpSocket) {
-    let last: RefCell<Vec<UnreadAt>> = RefCell::default();
+    let mut last = GateNews::default();
     let mut at = Instant::now();
-    let mut unread = Vec::new();
     loop {
-        tokio::time::sleep(EVERY).await;
-        unread.clear();
-        gate.decider.borrow().unread(&mut unread);
-        let changed = *last.borrow() != unread;
-        let due = !unread.is_empty() && at.elapsed() >= AGAIN;
         let peers = gate.peers.borrow().clone();
-        if !(changed || due) || peers.len() > PEERS_MOST {
+        tokio::time::sleep(pause(peers.len())).await;
+        let (news, is_due) = {
+            let decider = gate.decider.borrow();
+            let news = decider.news(gate.clock.now());
+            let is_changed = decider.is_worth_telling(&last, &news);
+            let is_due = is_changed || news != GateNews::default() && at.elapsed() >= AGAIN;
+            (news, is_due)
+        };
+        if !is_due {
             continue;
         }
-        let datagram = encode(&unread);
+        let datagram = encode(&news);
         for peer in peers {
             // One that is lost is told again.
             let _ = socket.try_send_to(&datagram, peer);
         }
-        last.replace(unread.clone());
+        last = news;
         at = Instant::now();
     }
 }
 
-fn encode(unread: &[UnreadAt]) -> Vec<u8> {
-    let most = unread.iter().take(SERVERS_MOST);
-    let told = Told { version: VERSION, unread: most.map(|at| (at.server, at.tokens)).collect() };
+/// The time from one datagram to the next.
+fn pause(peers: usize) -> Duration {
+    let more = peers as f64 / PEERS_FEW as f64;
+    EVERY.mul_f64(more.max(1.0)).min(AGAIN)
+}
+
+fn encode(news: &GateNews) -> Vec<u8> {
+    let unread = news.unread.iter().take(SERVERS_MOST).map(|at| (at.server, at.tokens));
+    let quiet = news.quiet.iter().take(SERVERS_MOST).copied();
+    let told = Told { version: VERSION, unread: unread.collect(), quiet: quiet.collect() };
     postcard::to_stdvec(&told).unwrap_or_default()
 }
 
-fn parse(datagram: &[u8]) -> Option<Vec<UnreadAt>> {
+fn parse(datagram: &[u8]) -> Option<GateNews> {
     let told: Told = postcard::from_bytes(datagram).ok()?;
-    let sound = told.version == VERSION && told.unread.len() <= SERVERS_MOST;
-    sound.then(|| told.unread.into_iter().map(|(server, tokens)| UnreadAt { server, tokens }).collect())
+    let is_sound =
+        told.version == VERSION && told.unread.len() <= SERVERS_MOST && told.quiet.len() <= SERVERS_MOST;
+    let unread = told.unread.into_iter().map(|(server, tokens)| UnreadAt { server, tokens });
+    is_sound.then(|| GateNews { unread: unread.collect(), quiet: told.quiet })
 }
 
 /// A number for a peer, the same for all its datagrams.
--- a/crates/routing/src/decider.rs
+++ b/crates/routing/src/decider.rs
@@ -16,6 +16,7 @@
 use crate::fleet::Fleet;
 use crate::guards::Guard;
 use crate::limits::{Permits, RetryBudget};
+use crate::paths::Paths;
 use crate::reading::{self, Pace};
 use crate::refusal::{self, Reason, Turns};
 use crate::request::{Attempt, Call, Request};
@@ -23,7 +24,7 @@
 use crate::settings::{Settings, SettingsError};
 use crate::table::Table;
 use crate::usual::Usuals;
-pub use prompts::UnreadAt;
+pub use prompts::{GateNews, UnreadAt};
 use search::{DeckKey, Found, Search};
 
 /// The rank of a request that goes at the end, the highest that the `Priority` header knows.
@@ -44,6 +45,7 @@
     paces: FxHashMap<Arc<str>, Pace>,
     decks: FxHashMap<DeckKey, Deck>,
     turns: Turns,
+    paths: Paths,
     ejections: u64,
     changes: Vec<HealthChange>,
 }
@@ -64,6 +66,7 @@
             paces: FxHashMap::default(),
             decks: FxHashMap::default(),
             turns: Turns::default(),
+            paths: Paths::default(),
             ejections: 0,
             changes: Vec::new(),
         })
@@ -152,8 +155,8 @@
 
     /// A server told its load.
     pub fn report(&mut self, now: Micros, server: ServerHandle, load: LoadReport) {
+        self.sign(now, server);
         if let Some(node) = self.fleet.get_mut(server) {
-            node.last_sign = now;
             node.occupancy.report(now, load);
         }
     }
@@ -162,6 +165,7 @@
     pub fn sign(&mut self, now: Micros, server: ServerHandle) {
         if let Some(node) = self.fleet.get_mut(server) {
             node.last_sign = now;
+            self.paths.sign(now, &node.spec.region);
         }
     }
 
@@ -209,6 +213,7 @@
             node.owes_since = now;
         }
         node.occupancy.take(need);
+        self.paths.tried(now, &node.spec.region);
         let unread = reading::waits(call.request.tokens_in, if here { call.shared_tokens } else { 0 });
         node.unread.take(unread);
         let backlog = node.unread.all(now);
--- a/crates/routing/src/decider/health.rs
+++ b/crates/routing/src/decider/health.rs
@@ -77,9 +77,11 @@
             Outcome::WrongInstance => node.displaced = true,
             _ => {}
         }
-        use Outcome::{NotExecuted, Rejected, ServerError, Success, WrongVersion};
-        if matches!(outcome, Success | Rejected | ServerError | NotExecuted { .. } | WrongVersion) {
-            node.last_sign = now;
+        use Outcome::{ConnectFailed, NotExecuted, Rejected, ServerError, Success, Timeout, WrongVersion};
+        match outcome {
+            Success | Rejected | ServerError | NotExecuted { .. } | WrongVersion => self.sign(now, server),
+            ConnectFailed | Timeout => self.paths.unanswered(&node.spec.region),
+            _ => {}
         }
     }
 
@@ -88,8 +90,10 @@
         let Some(node) = self.fleet.get(server) else { return };
         let (dark, peers) = (self.is_dark(now, node), self.fleet.peers(node));
         let well = matches!(outcome, ProbeOutcome::Healthy | ProbeOutcome::Full);
+        if well {
+            self.sign(now, server);
+        }
         if let Some(node) = self.fleet.get_mut(server) {
-            node.last_sign = if well { now } else { node.last_sign };
             node.displaced |= outcome == ProbeOutcome::WrongInstance;
         }
         let rests = self.settings.ejection;
--- a/crates/routing/src/decider/prompts.rs
+++ b/crates/routing/src/decider/prompts.rs
@@ -6,8 +6,21 @@
 
 use super::Decider;
 use crate::decision::ServerHandle;
+use crate::fleet::Node;
 use crate::reading::Pace;
 
+/// A change of what waits at a server is worth telling from this part of the objective of its service on.
+const WORTH_TELLING: f64 = 0.02;
+
+/// What a gate tells the other gates of its region. Servers go by the hash of their instance, the same at every gate.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct GateNews {
+    /// What it has out that waits to be read.
+    pub unread: Vec<UnreadAt>,
+    /// Servers that owe it an answer and have given no sign for long.
+    pub quiet: Vec<u64>,
+}
+
 /// Tokens of prompts that wait at one server, by the hash of its instance.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct UnreadAt {
@@ -18,17 +31,40 @@
 }
 
 impl Decider {
-    /// Appends what this gate has out that waits to be read, for the other gates of its region.
-    pub fn unread(&self, out: &mut Vec<UnreadAt>) {
+    /// What this gate has to tell the other gates of its region.
+    pub fn news(&self, now: Micros) -> GateNews {
         let waiting = self.fleet.listed().filter(|node| node.unread.own() > 0);
-        out.extend(waiting.map(|node| UnreadAt { server: node.hash, tokens: node.unread.own() }));
+        let quiet = self.fleet.listed().filter(|node| node.quiet(now, self.settings.quiet_after));
+        GateNews {
+            unread: waiting.map(|node| UnreadAt { server: node.hash, tokens: node.unread.own() }).collect(),
+            quiet: quiet.map(|node| node.hash).collect(),
+        }
+    }
+
+    /// Whether what there is to tell now differs from what was told by as much as would change a decision.
+    pub fn is_worth_telling(&self, told: &GateNews, news: &GateNews) -> bool {
+        if told.quiet != news.quiet {
+            return true;
+        }
+        let tokens = |of: &GateNews, server: u64| {
+            of.unread.iter().find(|unread| unread.server == server).map_or(0, |unread| unread.tokens)
+        };
+        let weighs = |node: &Node| {
+            let change = tokens(told, node.hash).abs_diff(tokens(news, node.hash));
+            let Some(service) = self.table.service(&node.spec.service) else { return false };
+            let least = self.table.target_ms(service) as f64 * 1_000.0 * WORTH_TELLING;
+            let time = self.pace(service).over(change);
+            change > 0 && (time == 0.0 || time >= least)
+        };
+        self.fleet.listed().any(weighs)
     }
 
-    /// A peer told the whole of what it has out.
-    pub fn told_unread(&mut self, now: Micros, peer: u64, told: &[UnreadAt]) {
+    /// A peer told the whole of its news.
+    pub fn told_news(&mut self, now: Micros, peer: u64, news: &GateNews) {
         for node in self.fleet.listed_mut() {
-            let here = told.iter().filter(|unread| unread.server == node.hash);
+            let here = news.unread.iter().filter(|unread| unread.server == node.hash);
             node.unread.told(now, peer, here.map(|unread| unread.tokens).max().unwrap_or(0));
+            node.told_quiet.told(now, peer, news.quiet.contains(&node.hash));
         }
     }
 
--- a/crates/routing/src/decider/search.rs
+++ b/crates/routing/src/decider/search.rs
@@ -11,9 +11,11 @@
 use crate::fleet::Node;
 use crate::guards::Guard;
 use crate::limits::{Permits, RetryBudget};
+use crate::paths;
 use crate::refusal::{self, CROWDED_FROM, Claim, Reason};
 use crate::request::Call;
 use crate::room::{self, Load, Usage};
+use crate::table::{RegionId, RegionSet};
 
 /// A server is quiet after this many times the usual time to a first byte.
 const QUIET_FOR: f64 = 2.0;
@@ -142,6 +144,9 @@
         limits: &mut L,
     ) -> Search {
         let scope = self.scope(call, service);
+        if self.is_out_of_reach(now, &scope) {
+            return Search::None(Reason::Nobody { until: Some(paths::ASK_EVERY) });
+        }
         if let Some(found) = self.trial(now, call, &scope, limits) {
             return Search::Found(found);
         }
@@ -229,10 +234,41 @@
     fn pool(&self, now: Micros, scope: &Scope, reach: Reach, call: &Call, trust: Trust) -> Pool {
         let usual = self.usuals.first(&call.request.route) * QUIET_FOR;
         let patience = self.settings.quiet_after.max(usual as Micros);
-        let shun = |node: &Node| Guard::Quiet.on() && node.quiet(now, patience);
+        let quiet = |node: &Node| node.quiet(now, patience) || node.quiet_to_others(now);
+        let dark = self.dark_regions(now, scope, reach);
+        let shun = |node: &Node| Guard::Quiet.on() && quiet(node) || dark.contains(node.region);
         candidates::pool(&self.fleet, scope, reach, call, trust, now, shun)
     }
 
+    /// The regions of a reach that hold servers of the service and give no sign.
+    fn dark_regions(&self, now: Micros, scope: &Scope, reach: Reach) -> RegionSet {
+        if reach == Reach::Own || !Guard::DarkRegion.on() {
+            return RegionSet::NONE;
+        }
+        let dark = scope.regions(reach).filter(|region| self.is_dark_region(now, scope.service, *region));
+        dark.fold(RegionSet::NONE, RegionSet::with)
+    }
+
+    fn is_dark_region(&self, now: Micros, service: u32, region: RegionId) -> bool {
+        let patience = self.settings.quiet_after;
+        let mut members = self.fleet.members(service, region);
+        let Some(name) = members.next().map(|node| &node.spec.region) else { return false };
+        let quiet = || self.fleet.members(service, region).filter(|node| node.quiet(now, patience)).count();
+        self.paths.is_dark(now, name, patience, quiet)
+    }
+
+    /// True where all servers that the request may go to are in other regions that give no sign: it is better told at
+    /// once to come back, for its client may come by another gate.
+    fn is_out_of_reach(&self, now: Micros, scope: &Scope) -> bool {
+        let holds = |region: &RegionId| self.fleet.members(scope.service, *region).any(Node::open);
+        let is_here = scope.regions(Reach::Own).any(|region| holds(&region));
+        let mut others = scope.regions(Reach::Others).filter(holds).peekable();
+        !is_here
+            && Guard::DarkRegion.on()
+            && others.peek().is_some()
+            && others.all(|region| self.is_dark_region(now, scope.service, region))
+    }
+
     fn in_region(&self, offer: &Offer, region: u8) -> bool {
         self.fleet.at(offer.slot).is_some_and(|node| node.region == region)
     }
--- a/crates/routing/src/decider/tests/affinity.rs
+++ b/crates/routing/src/decider/tests/affinity.rs
@@ -173,14 +173,13 @@
         learn(&mut gate);
         let home = gate.served(gate.prompt("a", 3));
         let (mut call, _) = gate.begin(Request { tokens_in: 1, ..gate.prompt("a", 3) });
-        let mut told = Vec::new();
-        gate.decider.unread(&mut told);
+        let mut told = gate.decider.news(gate.now);
         gate.settle(&mut call, Outcome::Success);
-        assert_eq!(told.len(), 1);
-        told[0].tokens = 1_000_000;
-        gate.decider.told_unread(gate.now, 7, &told);
+        assert_eq!(told.unread.len(), 1);
+        told.unread[0].tokens = 1_000_000;
+        gate.decider.told_news(gate.now, 7, &told);
         let moved = gate.served(gate.prompt("a", 3)) != home;
-        gate.decider.told_unread(gate.now, 7, &[]);
+        gate.decider.told_news(gate.now, 7, &GateNews::default());
         assert_eq!(gate.served(gate.prompt("a", 3)), home);
         moved
     });
@@ -192,10 +191,9 @@
     learn(&mut gate);
     let home = gate.served(gate.prompt("a", 3));
     let (mut call, _) = gate.begin(Request { tokens_in: 1_000_000, ..gate.prompt("a", 3) });
-    let mut told = Vec::new();
-    gate.decider.unread(&mut told);
+    let told = gate.decider.news(gate.now);
     gate.settle(&mut call, Outcome::Success);
-    gate.decider.told_unread(gate.now, 7, &told);
+    gate.decider.told_news(gate.now, 7, &told);
     assert_ne!(gate.served(gate.prompt("a", 3)), home);
     gate.now += 600_000;
     assert_eq!(gate.served(gate.prompt("a", 3)), home);
@@ -208,10 +206,10 @@
     let fleet = [servers(0, 2, "north"), servers(10, 2, "south")].concat();
     let mut gate = Gate::new(spec(vec![route("a", STREAM), home], fleet));
     learn(&mut gate);
-    let told: Vec<UnreadAt> = (0..2)
+    let unread = (0..2)
         .map(|number| UnreadAt { server: crate::affinity::hash(&format!("i-{number}")), tokens: waiting })
         .collect();
-    gate.decider.told_unread(gate.now, 7, &told);
+    gate.decider.told_news(gate.now, 7, &GateNews { unread, quiet: Vec::new() });
     ["a", "home"].map(|name| {
         let (_, decision) = gate.begin(gate.prompt(name, 3));
         sent(&decision).crosses_region
@@ -223,3 +221,20 @@
     guarded(Guard::SpillWait, || leave(50_000) == [true, false]);
     assert_eq!(leave(2_000), [false, false], "a short wait is none");
 }
+
+#[test]
+fn small_changes_are_not_worth_telling() {
+    let mut gate = gate(6, 1);
+    learn(&mut gate);
+    let (mut call, _) = gate.begin(Request { tokens_in: 10_000, ..gate.prompt("a", 3) });
+    let told = gate.decider.news(gate.now);
+    let with =
+        |tokens: u64| GateNews { unread: vec![UnreadAt { tokens, ..told.unread[0] }], quiet: Vec::new() };
+    let waiting = told.unread[0].tokens;
+    assert!(!gate.decider.is_worth_telling(&told, &told));
+    assert!(!gate.decider.is_worth_telling(&told, &with(waiting + 10)));
+    assert!(gate.decider.is_worth_telling(&told, &with(waiting + 5_000)));
+    assert!(gate.decider.is_worth_telling(&told, &GateNews::default()));
+    assert!(gate.decider.is_worth_telling(&told, &GateNews { quiet: vec![1], ..told.clone() }));
+    gate.settle(&mut call, Outcome::Success);
+}
--- a/crates/routing/src/decider/tests/candidates.rs
+++ b/crates/routing/src/decider/tests/candidates.rs
@@ -201,3 +201,71 @@
         heard && !used(&mut gate)
     });
 }
+
+/// A gate of the north whose route is at home in the south and the west, where so many servers each serve it.
+fn away(south: usize, west: usize) -> Gate {
+    let mut home = route("home", RouteKind::Stream { resumable: false });
+    home.allowed_regions = vec!["south".into(), "west".into()];
+    let fleet = [servers(0, 3, "north"), servers(10, south, "south"), servers(20, west, "west")].concat();
+    Gate::new(spec(vec![home], fleet))
+}
+
+/// Sends requests until so many are owed an answer by the south, which gives no sign for long from then on.
+fn cut_the_south(gate: &mut Gate, owed: usize) -> Vec<Call> {
+    let mut calls = Vec::new();
+    while calls.len() < owed {
+        let (mut call, decision) = gate.begin(gate.request("home"));
+        match sent(&decision).expect_instance.starts_with("i-1") {
+            true => calls.push(call),
+            false => _ = gate.settle(&mut call, Outcome::Success),
+        }
+    }
+    gate.now += 700 * MS;
+    calls
+}
+
+#[test]
+fn a_region_that_gives_no_sign_is_left_for_another() {
+    guarded(Guard::DarkRegion, || {
+        let mut gate = away(8, 2);
+        let _owed = cut_the_south(&mut gate, 2);
+        (0..20).all(|_| gate.served(gate.request("home")).starts_with("i-2"))
+    });
+}
+
+#[test]
+fn one_server_that_gives_no_sign_is_not_its_region() {
+    let mut gate = away(8, 0);
+    let _owed = cut_the_south(&mut gate, 1);
+    assert!(gate.served(gate.request("home")).starts_with("i-1"));
+}
+
+#[test]
+fn where_no_home_gives_a_sign_requests_are_refused_until_one_does() {
+    guarded(Guard::DarkRegion, || {
+        let mut gate = away(8, 0);
+        let _owed = cut_the_south(&mut gate, 2);
+        let is_refused = matches!(gate.begin(gate.request("home")).1, Decision::Refuse(_));
+        let mut probes = Vec::new();
+        gate.decider.probes_due(gate.now, &mut probes);
+        let Some(asked) = probes.first() else { return false };
+        gate.decider.probed(gate.now, asked.server, ProbeOutcome::Healthy);
+        gate.served(gate.request("home"));
+        is_refused
+    });
+}
+
+#[test]
+fn a_region_that_gives_no_sign_is_asked_by_one_probe_at_a_time() {
+    let mut gate = away(8, 0);
+    let _owed = cut_the_south(&mut gate, 2);
+    let Gate { decider, now, .. } = &mut gate;
+    let mut probes = Vec::new();
+    decider.probes_due(*now, &mut probes);
+    assert_eq!(probes.len(), 1);
+    decider.probes_due(*now + 100 * MS, &mut probes);
+    assert_eq!(probes.len(), 1);
+    decider.probes_due(*now + 400 * MS, &mut probes);
+    assert_eq!(probes.len(), 2);
+    assert_ne!(probes[0].server, probes[1].server);
+}
--- a/crates/routing/src/decider/tests/health.rs
+++ b/crates/routing/src/decider/tests/health.rs
@@ -315,3 +315,51 @@
     }
     assert_eq!(ejected(&gate, 3), 0);
 }
+
+/// Requests of 200 that reach `i-0`, where so many other gates say that it is quiet. `heard` tells whether this gate has
+/// just heard of it.
+fn reach_quiet(tellers: u64, heard: bool) -> usize {
+    let mut gate = gate(RouteKind::Safe, 4);
+    gate.now += 1_000 * MS;
+    let quiet = GateNews { quiet: vec![crate::affinity::hash("i-0")], ..GateNews::default() };
+    let server = gate.decider.server("i-0").expect("listed");
+    let mut there = 0;
+    for _ in 0..200 {
+        (0..tellers).for_each(|peer| gate.decider.told_news(gate.now, peer, &quiet));
+        if heard {
+            gate.decider.sign(gate.now, server);
+        }
+        there += usize::from(&*gate.served(gate.request("a")) == "i-0");
+        gate.now += 10 * MS;
+    }
+    there
+}
+
+#[test]
+fn a_server_that_is_quiet_to_several_other_gates_gets_nothing() {
+    guarded(Guard::Quiet, || reach_quiet(2, false) == 0);
+    assert!(reach_quiet(1, false) > 40, "the way of one gate may be at fault");
+    assert!(reach_quiet(2, true) > 40, "this gate hears it");
+}
+
+#[test]
+fn a_server_is_used_again_once_other_gates_hear_it() {
+    let mut gate = gate(RouteKind::Safe, 2);
+    gate.now += 1_000 * MS;
+    let quiet = GateNews { quiet: vec![crate::affinity::hash("i-0")], ..GateNews::default() };
+    (0..2).for_each(|peer| gate.decider.told_news(gate.now, peer, &quiet));
+    assert_eq!(&*gate.served(gate.request("a")), "i-1");
+    (0..2).for_each(|peer| gate.decider.told_news(gate.now, peer, &GateNews::default()));
+    let served: Vec<_> = (0..2).map(|_| gate.served(gate.request("a"))).collect();
+    assert!(served.iter().any(|server| &**server == "i-0"));
+}
+
+#[test]
+fn a_gate_tells_which_servers_owe_it_an_answer_and_give_no_sign() {
+    let mut gate = gate(RouteKind::Safe, 2);
+    let (_call, decision) = gate.begin(gate.request("a"));
+    let silent = crate::affinity::hash(&sent(&decision).expect_instance);
+    assert_eq!(gate.decider.news(gate.now).quiet, []);
+    gate.now += 700 * MS;
+    assert_eq!(gate.decider.news(gate.now).quiet, [silent]);
+}
--- a/crates/routing/src/decider/watch.rs
+++ b/crates/routing/src/decider/watch.rs
@@ -47,20 +47,13 @@
         Some((usual as Micros).max(call.target()))
     }
 
-    /// Appends the health checks that are due: of ejected servers that no request has tried since their rest ended, and
-    /// of servers that owe an answer and are quiet for long.
+    /// Appends the health checks that are due: of ejected servers that no request has tried since their rest ended, of
+    /// servers that owe an answer and are quiet for long, and of one server of each region that gives no sign.
     pub fn probes_due(&mut self, now: Micros, out: &mut Vec<Probe>) {
         let first = out.len();
         let due = self.fleet.listed().filter(|node| self.probe_is_due(now, node));
-        out.extend(due.filter_map(|node| {
-            let service = self.table.service(&node.spec.service)?;
-            Some(Probe {
-                server: node.handle,
-                address: node.spec.address,
-                expect_instance: node.spec.instance.clone(),
-                path: self.table.services()[service as usize].health_check.clone(),
-            })
-        }));
+        out.extend(due.filter_map(|node| self.probe(node)));
+        self.ask_dark_regions(now, out);
         for probe in &out[first..] {
             if let Some(node) = self.fleet.get_mut(probe.server) {
                 node.health.trial = true;
@@ -69,6 +62,43 @@
         }
     }
 
+    fn probe(&self, node: &Node) -> Option<Probe> {
+        let service = self.table.service(&node.spec.service)?;
+        Some(Probe {
+            server: node.handle,
+            address: node.spec.address,
+            expect_instance: node.spec.instance.clone(),
+            path: self.table.services()[service as usize].health_check.clone(),
+        })
+    }
+
+    /// Asks the server of each dark region that was asked longest ago: the region counts as reached by its answer.
+    fn ask_dark_regions(&mut self, now: Micros, out: &mut Vec<Probe>) {
+        let patience = self.settings.quiet_after;
+        let quiet = |region: &str| {
+            let there = self.fleet.listed().filter(|node| *node.spec.region == *region);
+            there.filter(|node| node.quiet(now, patience)).count()
+        };
+        let own = &self.settings.region;
+        let is_dark =
+            |region: &str| *region != **own && self.paths.is_dark(now, region, patience, || quiet(region));
+        let mut dark: Vec<&Node> = Vec::new();
+        let open = self.fleet.listed().filter(|node| node.open() && !node.health.trial);
+        for node in open {
+            match dark.iter_mut().find(|known| known.spec.region == node.spec.region) {
+                Some(known) if node.probed_at < known.probed_at => *known = node,
+                Some(_) => {}
+                None if is_dark(&node.spec.region) => dark.push(node),
+                None => {}
+            }
+        }
+        let asked: Vec<_> =
+            dark.into_iter().filter_map(|node| Some((node.spec.region.clone(), self.probe(node)?))).collect();
+        out.extend(
+            asked.into_iter().filter(|(region, _)| self.paths.ask(now, region)).map(|(_, probe)| probe),
+        );
+    }
+
     fn probe_is_due(&self, now: Micros, node: &Node) -> bool {
         if !node.open() || node.health.trial {
             return false;
--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet.rs
@@ -11,7 +11,7 @@
 use crate::decision::ServerHandle;
 use crate::ejection::{Health, Peers};
 use crate::guards::Guard;
-use crate::reading::Unread;
+use crate::reading::{ToldQuiet, Unread};
 use crate::room::{Bounds, Occupancy};
 use crate::table::{RegionId, ServerSpec, ServerState, Table};
 
@@ -20,6 +20,9 @@
 /// And for so long.
 const HEARD_FOR: Micros = 3_000_000;
 
+/// A sign of a server speaks against what other gates tell of its silence for so long.
+const SIGN_HOLDS: Micros = 500_000;
+
 /// One server.
 #[derive(Clone, Debug)]
 pub(crate) struct Node {
@@ -44,6 +47,8 @@
     pub displaced: bool,
     /// When anything was heard of it last.
     pub last_sign: Micros,
+    /// Other gates that find it quiet.
+    pub told_quiet: ToldQuiet,
     /// Since when something of this gate's has been in flight there without a break.
     pub owes_since: Micros,
     /// When it was asked for a sign last.
@@ -65,6 +70,11 @@
         self.occupancy.in_flight > 0 && since.saturating_add(patience) <= now
     }
 
+    /// True where several other gates find it quiet and this one has no sign of it either.
+    pub fn quiet_to_others(&self, now: Micros) -> bool {
+        self.told_quiet.by_several(now) && self.last_sign.saturating_add(SIGN_HOLDS) <= now
+    }
+
     /// True where its heartbeats are missing and this gate has heard nothing of it either: what carries heartbeats may
     /// be at fault, and a server that answers is there.
     pub fn unheard(&self, now: Micros) -> bool {
@@ -140,6 +150,7 @@
             silent: false,
             displaced: false,
             last_sign: now,
+            told_quiet: ToldQuiet::default(),
             owes_since: now,
             probed_at: 0,
         });
--- a/crates/routing/src/guards.rs
+++ b/crates/routing/src/guards.rs
@@ -56,6 +56,8 @@
     PriorityRoom,
     /// Servers that owe an answer and give no sign come last.
     Quiet,
+    /// A region that gives no sign is left out.
+    DarkRegion,
     /// A server that is full is left alone for a while.
     FullRest,
     /// A request is held for a short part of its objective only.
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -80,6 +80,7 @@
 mod fleet;
 mod guards;
 mod limits;
+mod paths;
 mod reading;
 mod refusal;
 mod request;
@@ -89,7 +90,7 @@
 mod table;
 mod usual;
 
-pub use decider::{Decider, UnreadAt};
+pub use decider::{Decider, GateNews, UnreadAt};
 pub use decision::{
     Check, Decision, Dispatch, HealthChange, Outcome, Probe, ProbeOutcome, Refusal, ServerHandle, Status,
 };
--- a/crates/routing/src/reading.rs
+++ b/crates/routing/src/reading.rs
@@ -7,6 +7,8 @@
 const TOLD_HOLDS: Micros = 500_000;
 /// Peers that are remembered for one server.
 const PEERS_MOST: usize = 64;
+/// A server is quiet to others where this many gates say so.
+const QUIET_TO: usize = 2;
 /// What was measured before counts for this part at each further measurement.
 const FADES: f64 = 0.98;
 /// Tokens measured before a pace is known.
@@ -35,7 +37,7 @@
 pub(crate) struct Unread {
     own: u64,
     /// By peer: when it told, and its tokens.
-    peers: SmallVec<[(u64, Micros, u64); 4]>,
+    peers: SmallVec<[(u64, Micros, u64); 2]>,
 }
 
 impl Unread {
@@ -69,6 +71,27 @@
     }
 }
 
+/// Other gates that find a server quiet, and when each said so last.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ToldQuiet {
+    peers: SmallVec<[(u64, Micros); 2]>,
+}
+
+impl ToldQuiet {
+    /// A peer told whether it finds the server quiet.
+    pub fn told(&mut self, now: Micros, peer: u64, quiet: bool) {
+        self.peers.retain(|(known, at)| *known != peer && at.saturating_add(TOLD_HOLDS) > now);
+        if quiet && self.peers.len() < PEERS_MOST {
+            self.peers.push((peer, now));
+        }
+    }
+
+    /// True where so many find it quiet that it is not the way of one of them that is at fault.
+    pub fn by_several(&self, now: Micros) -> bool {
+        self.peers.iter().filter(|(_, at)| at.saturating_add(TOLD_HOLDS) > now).count() >= QUIET_TO
+    }
+}
+
 /// The time that servers of a service take over a token that waits to be read.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Pace {
--- a/crates/routing/src/table.rs
+++ b/crates/routing/src/table.rs
@@ -234,7 +234,10 @@
         RegionSet(self.0 & other.0)
     }
 
-    fn with(self, region: RegionId) -> RegionSet {
+    /// No region.
+    pub const NONE: RegionSet = RegionSet(0);
+
+    pub(crate) fn with(self, region: RegionId) -> RegionSet {
         RegionSet(self.0 | 1 << region)
     }
 }
