Servers out of order are told among gates, repeats go to servers just heard, starts wait for servers

Changes, together with the reading pace by least squares: an attempt that broke off speaks against its server for 1 s and is told to the region's gates, two of which count; a repeat prefers servers with a sign within 0.5 s; the time to a first byte is a line over the tokens that wait, so that the way there is no reading.

routing::decider::search is split into search, pick and reach.

--- a/crates/gate/src/feed.rs
+++ b/crates/gate/src/feed.rs
@@ -97,6 +97,7 @@
     let configured = known.configuration().is_some();
     if !gate.set_configured(configured) && configured {
         info!(gate.log, "a configuration is in force"; "routes" => routes);
+        gate.learn_servers();
         gate.status_changed.notify_one();
     }
 }
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -23,6 +23,8 @@
 /// The part in which long requests are still taken.
 const LONG_TAKEN: f64 = 0.35;
 
+/// After a start servers have become known within this many heartbeat intervals.
+const KNOWN_WITHIN: f64 = 1.25;
 /// After a start a configuration mostly comes within this.
 const CONFIGURED_WITHIN: Micros = 1_300_000;
 /// And if it has not come by then, it may at any time: it is worth asking again after this.
@@ -119,6 +121,13 @@
         self.status_changed.notify_one();
     }
 
+    /// From now on all servers become known: each speaks once in an interval.
+    pub fn learn_servers(&self) {
+        let interval = self.settings.borrow().heartbeat_interval_ms as f64 * 1_000.0;
+        let until = self.clock.now() + (interval * KNOWN_WITHIN) as Micros;
+        self.decider.borrow_mut().learn_until(until);
+    }
+
     /// Asked right before the first byte of an attempt decided at `decided` is written.
     pub fn admission(self: &Rc<Self>, dispatch: &Dispatch, decided: Micros) -> Admission {
         let (gate, instance) = (Rc::clone(self), dispatch.expect_instance.clone());
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -1,5 +1,5 @@
 //! What the gates of a region tell each other, by datagrams: the prompts that each has out and that wait to be read,
-//! and servers that give it no sign. A datagram holds all of it, so one that is lost is made up for by the next. In a
+//! and servers that seem out of order to it. A datagram holds all of it, so one that is lost is made up for by the next. In a
 //! larger region each gate tells less often, so that what a gate hears in a second does not grow with the region.
 
 use std::net::{IpAddr, SocketAddr};
@@ -33,8 +33,8 @@
     version: u8,
     /// Hashes of servers, and the tokens that wait there.
     unread: Vec<(u64, u64)>,
-    /// Hashes of servers that give no sign.
-    quiet: Vec<u64>,
+    /// Hashes of servers that seem out of order.
+    suspect: Vec<u64>,
 }
 
 /// Tells and hears for as long as the gate lives. A gate that can't do so serves without.
@@ -103,17 +103,17 @@
 
 fn encode(news: &GateNews) -> Vec<u8> {
     let unread = news.unread.iter().take(SERVERS_MOST).map(|at| (at.server, at.tokens));
-    let quiet = news.quiet.iter().take(SERVERS_MOST).copied();
-    let told = Told { version: VERSION, unread: unread.collect(), quiet: quiet.collect() };
+    let suspect = news.suspect.iter().take(SERVERS_MOST).copied();
+    let told = Told { version: VERSION, unread: unread.collect(), suspect: suspect.collect() };
     postcard::to_stdvec(&told).unwrap_or_default()
 }
 
 fn parse(datagram: &[u8]) -> Option<GateNews> {
     let told: Told = postcard::from_bytes(datagram).ok()?;
     let is_sound =
-        told.version == VERSION && told.unread.len() <= SERVERS_MOST && told.quiet.len() <= SERVERS_MOST;
+        told.version == VERSION && told.unread.len() <= SERVERS_MOST && told.suspect.len() <= SERVERS_MOST;
     let unread = told.unread.into_iter().map(|(server, tokens)| UnreadAt { server, tokens });
-    is_sound.then(|| GateNews { unread: unread.collect(), quiet: told.quiet })
+    is_sound.then(|| GateNews { unread: unread.collect(), suspect: told.suspect })
 }
 
 /// A number for a peer, the same for all its datagrams.
--- a/crates/routing/src/decider.rs
+++ b/crates/routing/src/decider.rs
@@ -1,7 +1,9 @@
 //! The decider: takes requests, ends of attempts, reports and tables, and says what to do with each request.
 
 mod health;
+mod pick;
 mod prompts;
+mod reach;
 mod search;
 mod watch;
 
@@ -22,10 +24,12 @@
 use crate::request::{Attempt, Call, Request};
 use crate::room::LoadReport;
 use crate::settings::{Settings, SettingsError};
+use crate::splits::Splits;
 use crate::table::Table;
 use crate::usual::Usuals;
+use pick::DeckKey;
 pub use prompts::{GateNews, UnreadAt};
-use search::{DeckKey, Found, Search};
+use search::{Found, Search};
 
 /// The rank of a request that goes at the end, the highest that the `Priority` header knows.
 const PRIORITY_LAST: u32 = 9;
@@ -33,6 +37,9 @@
 const RESUME_AGAIN: Micros = 50_000;
 /// So long it may try in all: half of the shortest silence that clients bear.
 const RESUME_WITHIN: Micros = 1_000_000;
+/// A request for which no server is known yet looks again after this long.
+const LEARN_AGAIN: Micros = 30_000;
+
 /// The decisions of one gate.
 #[derive(Debug)]
 pub struct Decider {
@@ -45,7 +52,10 @@
     paces: FxHashMap<Arc<str>, Pace>,
     decks: FxHashMap<DeckKey, Deck>,
     turns: Turns,
+    splits: Splits,
     paths: Paths,
+    /// Until then servers may be there that the table does not list yet.
+    learns_until: Micros,
     ejections: u64,
     changes: Vec<HealthChange>,
 }
@@ -66,7 +76,9 @@
             paces: FxHashMap::default(),
             decks: FxHashMap::default(),
             turns: Turns::default(),
+            splits: Splits::default(),
             paths: Paths::default(),
+            learns_until: 0,
             ejections: 0,
             changes: Vec::new(),
         })
@@ -84,6 +96,7 @@
             let names: rustc_hash::FxHashSet<&str> =
                 table.router().routes().map(|route| route.spec.name.as_ref()).collect();
             self.usuals.keep(|name| names.contains(name), |name| table.service(name).is_some());
+            self.splits.keep(|name| names.contains(name));
             self.turns.keep(|name| table.service(name).is_some());
             self.decks.clear();
             self.paces.retain(|name, _| table.service(name).is_some());
@@ -91,6 +104,12 @@
         self.table = table;
     }
 
+    /// After a start servers become known one after the other: until that clock reading, a request for which none is
+    /// listed waits for one.
+    pub fn learn_until(&mut self, until: Micros) {
+        self.learns_until = until;
+    }
+
     /// Takes a request. The call is to be handed back at each of its events until a decision is final.
     pub fn begin<L: Permits + RetryBudget>(
         &mut self,
@@ -187,10 +206,19 @@
             }
             Search::Found(_) => self.give_up(now, call, Reason::Spent { told: call.told_wait }),
             Search::Cold(wait) => self.hold(now, call, wait),
+            Search::None(Reason::Nobody { until: None }) if self.may_learn(now, call) => {
+                Decision::Hold { until: now + LEARN_AGAIN }
+            }
             Search::None(reason) => self.give_up(now, call, reason),
         }
     }
 
+    /// Whether a request may wait for a server to become known: no longer than for half of its time.
+    fn may_learn(&self, now: Micros, call: &Call) -> bool {
+        let half = call.begun + call.ends().saturating_sub(call.begun) / 2;
+        now < self.learns_until && now < half && call.attempts() == 0 && Guard::Learn.on()
+    }
+
     /// Takes a repeat out of the budget of the server's service. An attempt that no earlier one may have arrived
     /// before is none, and one that never arrives leaves its payment to the next.
     fn pay<L: RetryBudget>(&self, now: Micros, call: &mut Call, found: Found, limits: &mut L) -> bool {
--- a/crates/routing/src/decider/health.rs
+++ b/crates/routing/src/decider/health.rs
@@ -78,6 +78,11 @@
             _ => {}
         }
         use Outcome::{ConnectFailed, NotExecuted, Rejected, ServerError, Success, Timeout, WrongVersion};
+        match outcome {
+            Success => node.broke_at = 0,
+            ConnectFailed | Outcome::Reset | Outcome::Spoilt | Timeout => node.broke_at = now,
+            _ => {}
+        }
         match outcome {
             Success | Rejected | ServerError | NotExecuted { .. } | WrongVersion => self.sign(now, server),
             ConnectFailed | Timeout => self.paths.unanswered(&node.spec.region),
--- a/crates/routing/src/decider/prompts.rs
+++ b/crates/routing/src/decider/prompts.rs
@@ -17,8 +17,9 @@
 pub struct GateNews {
     /// What it has out that waits to be read.
     pub unread: Vec<UnreadAt>,
-    /// Servers that owe it an answer and have given no sign for long.
-    pub quiet: Vec<u64>,
+    /// Servers that seem out of order to it: they owe an answer and give no sign, or an attempt there has just broken
+    /// off.
+    pub suspect: Vec<u64>,
 }
 
 /// Tokens of prompts that wait at one server, by the hash of its instance.
@@ -34,16 +35,16 @@
     /// What this gate has to tell the other gates of its region.
     pub fn news(&self, now: Micros) -> GateNews {
         let waiting = self.fleet.listed().filter(|node| node.unread.own() > 0);
-        let quiet = self.fleet.listed().filter(|node| node.quiet(now, self.settings.quiet_after));
+        let suspect = self.fleet.listed().filter(|node| node.is_suspect(now, self.settings.quiet_after));
         GateNews {
             unread: waiting.map(|node| UnreadAt { server: node.hash, tokens: node.unread.own() }).collect(),
-            quiet: quiet.map(|node| node.hash).collect(),
+            suspect: suspect.map(|node| node.hash).collect(),
         }
     }
 
     /// Whether what there is to tell now differs from what was told by as much as would change a decision.
     pub fn is_worth_telling(&self, told: &GateNews, news: &GateNews) -> bool {
-        if told.quiet != news.quiet {
+        if told.suspect != news.suspect {
             return true;
         }
         let tokens = |of: &GateNews, server: u64| {
@@ -64,7 +65,7 @@
         for node in self.fleet.listed_mut() {
             let here = news.unread.iter().filter(|unread| unread.server == node.hash);
             node.unread.told(now, peer, here.map(|unread| unread.tokens).max().unwrap_or(0));
-            node.told_quiet.told(now, peer, news.quiet.contains(&node.hash));
+            node.told_suspect.told(now, peer, news.suspect.contains(&node.hash));
         }
     }
 
--- a/crates/routing/src/decider/search.rs
+++ b/crates/routing/src/decider/search.rs
@@ -1,32 +1,23 @@
-//! Finding a server: the service drawn by weight, the candidates, those with room, and the one of them.
+//! Finding a server: the service drawn by weight, the own region and the others, and when each of them is asked.
 
 use ironmast_balancer::Micros;
 use smallvec::SmallVec;
 
 use super::Decider;
-use crate::affinity::{self, Choice};
+use super::pick::{Ask, Offer, Offers, crowded, permitted};
 use crate::candidates::{self, Pool, Reach, Scope, Trust};
 use crate::decision::ServerHandle;
-use crate::draw::Deck;
 use crate::fleet::Node;
 use crate::guards::Guard;
 use crate::limits::{Permits, RetryBudget};
 use crate::paths;
-use crate::refusal::{self, CROWDED_FROM, Claim, Reason};
+use crate::refusal::Reason;
 use crate::request::Call;
-use crate::room::{self, Load, Usage};
-use crate::table::{RegionId, RegionSet};
 
 /// A server is quiet after this many times the usual time to a first byte.
 const QUIET_FOR: f64 = 2.0;
 /// Another region is sooner where the wait known of there is by so many times shorter.
 const SPILL_LESS: f64 = 4.0;
-/// Decks kept at most: one for each service, reach and set of regions in use.
-const DECKS_MOST: usize = 4096;
-
-/// A service, a reach and the allowed regions.
-pub(super) type DeckKey = (u32, bool, u64);
-
 /// A server for a request.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct Found {
@@ -43,37 +34,6 @@
     None(Reason),
 }
 
-/// What a server offers.
-#[derive(Clone, Copy, Debug)]
-struct Offer {
-    slot: u32,
-    /// Hash of its instance.
-    hash: u64,
-    load: Load,
-    /// Part of its room that is taken.
-    part: f64,
-    /// How long prompts wait there until they are read, in microseconds.
-    wait: f64,
-    /// It has room for this request, for its rank of priority, or at all.
-    room: bool,
-    room_at_all: bool,
-    /// Its memory has room for the whole of this request.
-    fits: bool,
-    waits: bool,
-    full_until: Micros,
-}
-
-type Offers = SmallVec<[Offer; 64]>;
-
-/// How a pool is asked.
-#[derive(Clone, Copy, Debug)]
-struct Ask {
-    scope: Scope,
-    reach: Reach,
-    /// Room does not matter.
-    any: bool,
-}
-
 impl Decider {
     /// Tries the services of the route, the drawn one first.
     pub(super) fn search<L: Permits + RetryBudget>(
@@ -106,7 +66,8 @@
     ) -> SmallVec<[u32; 4]> {
         let route = call.request.route.clone();
         if call.service.is_none() {
-            let mut point = (self.rng.unit() * route.weight as f64) as u64;
+            let point = self.splits.next(&route.spec.name, &mut self.rng);
+            let mut point = (point * route.weight as f64) as u64;
             let drawn = route.spec.splits.iter().find(|split| {
                 let here = point < u64::from(split.weight);
                 point = point.saturating_sub(u64::from(split.weight));
@@ -234,183 +195,22 @@
     fn pool(&self, now: Micros, scope: &Scope, reach: Reach, call: &Call, trust: Trust) -> Pool {
         let usual = self.usuals.first(&call.request.route) * QUIET_FOR;
         let patience = self.settings.quiet_after.max(usual as Micros);
-        let quiet = |node: &Node| node.quiet(now, patience) || node.quiet_to_others(now);
         let dark = self.dark_regions(now, scope, reach);
-        let shun = |node: &Node| Guard::Quiet.on() && quiet(node) || dark.contains(node.region);
+        let suspect = |node: &Node| node.quiet(now, patience) || node.is_suspect_to_others(now);
+        // What has failed once goes where somebody is known to answer.
+        let is_again = call.arrivals() > 0 && Guard::HeardFirst.on();
+        let shun = |node: &Node| {
+            Guard::Quiet.on() && suspect(node)
+                || dark.contains(node.region)
+                || is_again && !node.is_heard(now)
+        };
         candidates::pool(&self.fleet, scope, reach, call, trust, now, shun)
     }
 
-    /// The regions of a reach that hold servers of the service and give no sign.
-    fn dark_regions(&self, now: Micros, scope: &Scope, reach: Reach) -> RegionSet {
-        if reach == Reach::Own || !Guard::DarkRegion.on() {
-            return RegionSet::NONE;
-        }
-        let dark = scope.regions(reach).filter(|region| self.is_dark_region(now, scope.service, *region));
-        dark.fold(RegionSet::NONE, RegionSet::with)
-    }
-
-    fn is_dark_region(&self, now: Micros, service: u32, region: RegionId) -> bool {
-        let patience = self.settings.quiet_after;
-        let mut members = self.fleet.members(service, region);
-        let Some(name) = members.next().map(|node| &node.spec.region) else { return false };
-        let quiet = || self.fleet.members(service, region).filter(|node| node.quiet(now, patience)).count();
-        self.paths.is_dark(now, name, patience, quiet)
-    }
-
-    /// True where all servers that the request may go to are in other regions that give no sign: it is better told at
-    /// once to come back, for its client may come by another gate.
-    fn is_out_of_reach(&self, now: Micros, scope: &Scope) -> bool {
-        let holds = |region: &RegionId| self.fleet.members(scope.service, *region).any(Node::open);
-        let is_here = scope.regions(Reach::Own).any(|region| holds(&region));
-        let mut others = scope.regions(Reach::Others).filter(holds).peekable();
-        !is_here
-            && Guard::DarkRegion.on()
-            && others.peek().is_some()
-            && others.all(|region| self.is_dark_region(now, scope.service, region))
-    }
-
     fn in_region(&self, offer: &Offer, region: u8) -> bool {
         self.fleet.at(offer.slot).is_some_and(|node| node.region == region)
     }
 
-    /// Up to which part of its room a server may be filled for a request of that rank and chance.
-    fn level(&self, call: &Call, service: u32, rank: u32, chance: f64) -> f64 {
-        // The same for all routes of the service: else the less urgent of a longer objective came first.
-        let target = self.table.target_ms(service) as f64 * 1000.0;
-        refusal::level(&self.settings, Claim { rank, chance, whole: self.whole(call), target })
-    }
-
-    /// What a request of the service takes.
-    fn whole(&self, call: &Call) -> f64 {
-        let service = call.service.as_deref().unwrap_or_default();
-        self.usuals.whole(service, &call.request.route)
-    }
-
-    /// What each of a pool offers.
-    fn offers(&self, now: Micros, call: &Call, service: u32, pool: &Pool, level: f64) -> Offers {
-        let memory = self.settings.report_memory;
-        let nodes = || pool.iter().filter_map(|slot| self.fleet.at(*slot));
-        let peers = Usage::of(nodes().map(|node| &node.occupancy), now, memory);
-        let need = call.need();
-        let highest = self.level(call, service, 0, 0.0);
-        let pace = self.pace(service);
-        let offer = |node: &Node| {
-            let occupancy = &node.occupancy;
-            let load = occupancy.load(now, memory, &node.bounds, peers);
-            let part = load.part();
-            let free = occupancy.full_until() <= now && occupancy.connects(&node.bounds);
-            Offer {
-                slot: node.handle.slot,
-                hash: node.hash,
-                load,
-                part,
-                wait: pace.over(node.unread.all(now)),
-                room: free && part < level,
-                room_at_all: free && part < highest,
-                // Which parts it has already matters only where memory is short.
-                fits: room::fits(&load, need.all()) || room::fits(&load, occupancy.added(need)),
-                waits: occupancy.waiting(now, memory),
-                full_until: occupancy.full_until(),
-            }
-        };
-        let mut offers = Offers::with_capacity(pool.len());
-        offers.extend(nodes().map(offer));
-        offers
-    }
-
-    /// One of those with room, by the key's order or by the even draw; cold ones under a permit only.
-    fn pick<L: Permits>(
-        &mut self,
-        now: Micros,
-        call: &Call,
-        offers: &Offers,
-        ask: Ask,
-        limits: &mut L,
-    ) -> Search {
-        let mut usable: Offers = offers.iter().filter(|offer| offer.room || ask.any).copied().collect();
-        if usable.is_empty() {
-            return Search::None(self.full(now, call, offers));
-        }
-        // Memory that has room for the whole of it comes first, but its size alone turns no request away.
-        if usable.iter().any(|offer| offer.fits) {
-            usable.retain(|offer| offer.fits);
-        }
-        if call.key.is_none() {
-            usable.sort_unstable_by_key(|offer| offer.slot);
-        }
-        let mut soonest: Option<Micros> = None;
-        while let Some(place) = self.choose(call, &usable, ask) {
-            let Some(node) = self.fleet.at(usable[place].slot) else { break };
-            match permitted(now, node, limits) {
-                Ok(()) => return Search::Found(Found { server: node.handle, trial: false }),
-                Err(wait) => soonest = Some(soonest.map_or(wait, |soonest| soonest.min(wait))),
-            }
-            usable.remove(place);
-        }
-        Search::Cold(soonest.unwrap_or(0))
-    }
-
-    fn choose(&mut self, call: &Call, usable: &Offers, ask: Ask) -> Option<usize> {
-        if usable.is_empty() {
-            return None;
-        }
-        if ask.any {
-            return least_loaded(usable);
-        }
-        let Some(key) = call.key else { return self.draw(usable, ask) };
-        let choice = |offer: &Offer| Choice { hash: offer.hash, part: offer.part, wait: offer.wait };
-        let choices: SmallVec<[Choice; 64]> = usable.iter().map(choice).collect();
-        let (excess, floor) = (self.settings.affinity_excess, self.settings.affinity_floor);
-        let reading = self.pace(ask.scope.service).over(call.shared_tokens);
-        affinity::choose(key, &choices, excess, floor, self.settings.stay_for * reading)
-    }
-
-    /// The even draw among those of a reach, in the order of their slots.
-    fn draw(&mut self, usable: &Offers, ask: Ask) -> Option<usize> {
-        let key = (ask.scope.service, ask.reach == Reach::Own, ask.scope.allowed.bits());
-        if self.decks.len() >= DECKS_MOST && !self.decks.contains_key(&key) {
-            self.decks.clear();
-        }
-        let mut deck = self.decks.remove(&key).unwrap_or_default();
-        self.refresh(&mut deck, ask);
-        let (fleet, zone) = (&self.fleet, &self.settings.zone);
-        let place = |slot: u32| usable.binary_search_by_key(&slot, |offer| offer.slot).ok();
-        let target = (self.table.target_ms(ask.scope.service) as f64 * 1000.0).max(1.0);
-        let load = |slot: u32| {
-            let offer = &usable[place(slot)?];
-            Some(offer.part.max(offer.wait / target))
-        };
-        let near = |slot: u32| fleet.at(slot).is_some_and(|node| *node.spec.zone == **zone);
-        let drawn = deck.draw(&mut self.rng, load, near);
-        self.decks.insert(key, deck);
-        drawn.and_then(place)
-    }
-
-    /// Brings a deck up to the table in force.
-    fn refresh(&self, deck: &mut Deck, ask: Ask) {
-        let swaps = self.fleet.swaps();
-        if deck.swap != swaps {
-            let mut slots: Vec<u32> =
-                ask.scope.servers(&self.fleet, ask.reach).map(|node| node.handle.slot).collect();
-            slots.sort_unstable();
-            deck.keep(slots);
-            deck.swap = swaps;
-        }
-    }
-
-    /// Why none of these takes the request, and how long until one may.
-    fn full(&self, now: Micros, call: &Call, offers: &Offers) -> Reason {
-        let whole = self.whole(call);
-        let nodes = offers.iter().filter_map(|offer| self.fleet.at(offer.slot));
-        let in_flight: u32 = nodes.map(|node| node.occupancy.in_flight).sum();
-        let gap = refusal::gap(whole, f64::from(in_flight));
-        let rest = offers.iter().map(|offer| offer.full_until.saturating_sub(now)).min().unwrap_or(0);
-        match offers.iter().any(|offer| offer.room_at_all) {
-            true => Reason::Crowded { rest, gap },
-            false => Reason::Full { rest, gap },
-        }
-    }
-
     /// When the next ejection ends.
     fn next_trial(&self, now: Micros, scope: &Scope) -> Option<Micros> {
         let nodes =
@@ -419,28 +219,3 @@
         until.map(|ejected| ejected.until.saturating_sub(now)).min()
     }
 }
-
-/// Takes a permit where the server is cold.
-fn permitted<L: Permits>(now: Micros, node: &Node, limits: &mut L) -> Result<(), Micros> {
-    match node.spec.cold && Guard::Permit.on() {
-        true => limits.take(now, &node.spec).map_err(|wait| wait.0),
-        false => Ok(()),
-    }
-}
-
-/// True where a refusal for want of room is fair: half of the places are taken, or requests wait.
-fn crowded(offers: &Offers) -> bool {
-    let places: f64 = offers.iter().map(|offer| offer.load.slots).sum();
-    let taken: f64 = offers.iter().map(|offer| offer.load.active).sum();
-    taken >= CROWDED_FROM * places || offers.iter().any(|offer| offer.waits)
-}
-
-fn least_loaded(offers: &Offers) -> Option<usize> {
-    let order = |offer: &Offer| (offer.full_until, offer.part);
-    let indexed = offers.iter().enumerate();
-    let least = indexed.min_by(|a, b| {
-        let ((a_full, a_part), (b_full, b_part)) = (order(a.1), order(b.1));
-        a_full.cmp(&b_full).then(a_part.total_cmp(&b_part))
-    });
-    least.map(|(place, _)| place)
-}
--- a/crates/routing/src/decider/tests/affinity.rs
+++ b/crates/routing/src/decider/tests/affinity.rs
@@ -209,7 +209,7 @@
     let unread = (0..2)
         .map(|number| UnreadAt { server: crate::affinity::hash(&format!("i-{number}")), tokens: waiting })
         .collect();
-    gate.decider.told_news(gate.now, 7, &GateNews { unread, quiet: Vec::new() });
+    gate.decider.told_news(gate.now, 7, &GateNews { unread, suspect: Vec::new() });
     ["a", "home"].map(|name| {
         let (_, decision) = gate.begin(gate.prompt(name, 3));
         sent(&decision).crosses_region
@@ -229,12 +229,12 @@
     let (mut call, _) = gate.begin(Request { tokens_in: 10_000, ..gate.prompt("a", 3) });
     let told = gate.decider.news(gate.now);
     let with =
-        |tokens: u64| GateNews { unread: vec![UnreadAt { tokens, ..told.unread[0] }], quiet: Vec::new() };
+        |tokens: u64| GateNews { unread: vec![UnreadAt { tokens, ..told.unread[0] }], suspect: Vec::new() };
     let waiting = told.unread[0].tokens;
     assert!(!gate.decider.is_worth_telling(&told, &told));
     assert!(!gate.decider.is_worth_telling(&told, &with(waiting + 10)));
     assert!(gate.decider.is_worth_telling(&told, &with(waiting + 5_000)));
     assert!(gate.decider.is_worth_telling(&told, &GateNews::default()));
-    assert!(gate.decider.is_worth_telling(&told, &GateNews { quiet: vec![1], ..told.clone() }));
+    assert!(gate.decider.is_worth_telling(&told, &GateNews { suspect: vec![1], ..told.clone() }));
     gate.settle(&mut call, Outcome::Success);
 }
--- a/crates/routing/src/decider/tests/candidates.rs
+++ b/crates/routing/src/decider/tests/candidates.rs
@@ -269,3 +269,41 @@
     assert_eq!(probes.len(), 2);
     assert_ne!(probes[0].server, probes[1].server);
 }
+
+/// A gate that knows no server; until a second from now some may become known.
+fn learner() -> Gate {
+    let mut gate = Gate::new(spec(vec![route("a", RouteKind::Unsafe)], Vec::new()));
+    gate.decider.learn_until(gate.now + SECOND);
+    gate
+}
+
+#[test]
+fn after_a_start_a_request_waits_for_a_server_to_become_known() {
+    guarded(Guard::Learn, || {
+        let mut gate = learner();
+        let (mut call, decision) = gate.begin(gate.request("a"));
+        let Decision::Hold { until } = decision else { return false };
+        gate.now = until;
+        gate.swap(spec(vec![route("a", RouteKind::Unsafe)], servers(0, 1, "north")));
+        let decision = gate.decider.resume(gate.now, &mut call, &mut gate.limits);
+        &*sent(&decision).expect_instance == "i-0"
+    });
+}
+
+#[test]
+fn a_request_waits_for_servers_no_longer_than_they_take_to_become_known() {
+    let mut gate = learner();
+    gate.now += SECOND;
+    assert!(matches!(gate.begin(gate.request("a")).1, Decision::Refuse(_)));
+}
+
+#[test]
+fn a_request_waits_for_servers_no_longer_than_half_of_its_time() {
+    let mut gate = learner();
+    let deadline = Some(gate.now + 400 * MS);
+    let (mut call, decision) = gate.begin(Request { deadline, ..gate.request("a") });
+    assert!(matches!(decision, Decision::Hold { .. }));
+    gate.now += 200 * MS;
+    let decision = gate.decider.resume(gate.now, &mut call, &mut gate.limits);
+    assert!(matches!(decision, Decision::Refuse(_)), "{decision:?}");
+}
--- a/crates/routing/src/decider/tests/health.rs
+++ b/crates/routing/src/decider/tests/health.rs
@@ -321,7 +321,7 @@
 fn reach_quiet(tellers: u64, heard: bool) -> usize {
     let mut gate = gate(RouteKind::Safe, 4);
     gate.now += 1_000 * MS;
-    let quiet = GateNews { quiet: vec![crate::affinity::hash("i-0")], ..GateNews::default() };
+    let quiet = GateNews { suspect: vec![crate::affinity::hash("i-0")], ..GateNews::default() };
     let server = gate.decider.server("i-0").expect("listed");
     let mut there = 0;
     for _ in 0..200 {
@@ -346,7 +346,7 @@
 fn a_server_is_used_again_once_other_gates_hear_it() {
     let mut gate = gate(RouteKind::Safe, 2);
     gate.now += 1_000 * MS;
-    let quiet = GateNews { quiet: vec![crate::affinity::hash("i-0")], ..GateNews::default() };
+    let quiet = GateNews { suspect: vec![crate::affinity::hash("i-0")], ..GateNews::default() };
     (0..2).for_each(|peer| gate.decider.told_news(gate.now, peer, &quiet));
     assert_eq!(&*gate.served(gate.request("a")), "i-1");
     (0..2).for_each(|peer| gate.decider.told_news(gate.now, peer, &GateNews::default()));
@@ -359,7 +359,44 @@
     let mut gate = gate(RouteKind::Safe, 2);
     let (_call, decision) = gate.begin(gate.request("a"));
     let silent = crate::affinity::hash(&sent(&decision).expect_instance);
-    assert_eq!(gate.decider.news(gate.now).quiet, []);
+    assert_eq!(gate.decider.news(gate.now).suspect, []);
     gate.now += 700 * MS;
-    assert_eq!(gate.decider.news(gate.now).quiet, [silent]);
+    assert_eq!(gate.decider.news(gate.now).suspect, [silent]);
+}
+
+#[test]
+fn a_gate_tells_of_a_server_where_an_attempt_broke_off_until_another_succeeds() {
+    for outcome in [Outcome::Reset, Outcome::ConnectFailed, Outcome::Spoilt, Outcome::Timeout] {
+        let mut gate = gate(RouteKind::Unsafe, 1);
+        let (mut call, _) = gate.begin(gate.request("a"));
+        gate.settle(&mut call, outcome.clone());
+        assert_eq!(gate.decider.news(gate.now).suspect, [crate::affinity::hash("i-0")], "{outcome:?}");
+        assert_eq!(gate.decider.news(gate.now + 1_000 * MS).suspect, [], "{outcome:?} long ago");
+        gate.served(gate.request("a"));
+        assert_eq!(gate.decider.news(gate.now).suspect, []);
+    }
+}
+
+/// Two of four servers break every attempt; the others have just been heard.
+#[test]
+fn a_repeat_goes_to_a_server_that_has_just_answered() {
+    guarded(Guard::HeardFirst, || {
+        (0..20).all(|seed| {
+            let mut route = route("a", RouteKind::Safe);
+            route.affinity = false;
+            let table = spec(vec![route], servers(0, 4, "north"));
+            let mut gate = Gate::with(table, Settings::new("north", "z"), seed);
+            gate.now += 5_000 * MS;
+            for well in ["i-2", "i-3"] {
+                let server = gate.decider.server(well).expect("listed");
+                gate.decider.sign(gate.now, server);
+            }
+            let (mut call, mut decision) = gate.begin(gate.request("a"));
+            while let Decision::Send(dispatch) = &decision {
+                let is_well = matches!(&*dispatch.expect_instance, "i-2" | "i-3");
+                decision = gate.settle(&mut call, if is_well { Outcome::Success } else { Outcome::Reset });
+            }
+            decision == Decision::Finished
+        })
+    });
 }
--- a/crates/routing/src/fleet.rs
+++ b/crates/routing/src/fleet.rs
@@ -11,7 +11,7 @@
 use crate::decision::ServerHandle;
 use crate::ejection::{Health, Peers};
 use crate::guards::Guard;
-use crate::reading::{ToldQuiet, Unread};
+use crate::reading::{ToldSuspect, Unread};
 use crate::room::{Bounds, Occupancy};
 use crate::table::{RegionId, ServerSpec, ServerState, Table};
 
@@ -20,8 +20,10 @@
 /// And for so long.
 const HEARD_FOR: Micros = 3_000_000;
 
-/// A sign of a server speaks against what other gates tell of its silence for so long.
+/// A sign of a server speaks against what other gates tell of it for so long.
 const SIGN_HOLDS: Micros = 500_000;
+/// An attempt that broke off speaks against its server for so long, unless another succeeds there.
+const BROKE_HOLDS: Micros = 1_000_000;
 
 /// One server.
 #[derive(Clone, Debug)]
@@ -47,8 +49,10 @@
     pub displaced: bool,
     /// When anything was heard of it last.
     pub last_sign: Micros,
-    /// Other gates that find it quiet.
-    pub told_quiet: ToldQuiet,
+    /// When an attempt there broke off last without an answer; 0 after a success.
+    pub broke_at: Micros,
+    /// Other gates that find it out of order.
+    pub told_suspect: ToldSuspect,
     /// Since when something of this gate's has been in flight there without a break.
     pub owes_since: Micros,
     /// When it was asked for a sign last.
@@ -70,9 +74,21 @@
         self.occupancy.in_flight > 0 && since.saturating_add(patience) <= now
     }
 
-    /// True where several other gates find it quiet and this one has no sign of it either.
-    pub fn quiet_to_others(&self, now: Micros) -> bool {
-        self.told_quiet.by_several(now) && self.last_sign.saturating_add(SIGN_HOLDS) <= now
+    /// True where it seems to be out of order to this gate: it owes an answer and gives no sign, or the last attempt
+    /// there has just broken off.
+    pub fn is_suspect(&self, now: Micros, patience: Micros) -> bool {
+        let broke = self.broke_at > 0 && self.broke_at.saturating_add(BROKE_HOLDS) > now;
+        broke || self.quiet(now, patience)
+    }
+
+    /// True where it seems so to several other gates, and this one has no sign of it either.
+    pub fn is_suspect_to_others(&self, now: Micros) -> bool {
+        self.told_suspect.by_several(now) && !self.is_heard(now)
+    }
+
+    /// True where it gave a sign just now.
+    pub fn is_heard(&self, now: Micros) -> bool {
+        self.last_sign.saturating_add(SIGN_HOLDS) > now
     }
 
     /// True where its heartbeats are missing and this gate has heard nothing of it either: what carries heartbeats may
@@ -150,7 +166,8 @@
             silent: false,
             displaced: false,
             last_sign: now,
-            told_quiet: ToldQuiet::default(),
+            broke_at: 0,
+            told_suspect: ToldSuspect::default(),
             owes_since: now,
             probed_at: 0,
         });
--- a/crates/routing/src/guards.rs
+++ b/crates/routing/src/guards.rs
@@ -56,12 +56,16 @@
     PriorityRoom,
     /// Servers that owe an answer and give no sign come last.
     Quiet,
+    /// A repeat goes to a server that has just given a sign.
+    HeardFirst,
     /// A region that gives no sign is left out.
     DarkRegion,
     /// A server that is full is left alone for a while.
     FullRest,
     /// A request is held for a short part of its objective only.
     HoldShort,
+    /// After a start requests wait for servers to become known.
+    Learn,
     /// A refusal is made only where nothing can have run.
     Promise,
 }
--- a/crates/routing/src/lib.rs
+++ b/crates/routing/src/lib.rs
@@ -87,6 +87,7 @@
 mod room;
 mod router;
 mod settings;
+mod splits;
 mod table;
 mod usual;
 
--- a/crates/routing/src/reading.rs
+++ b/crates/routing/src/reading.rs
@@ -7,10 +7,14 @@
 const TOLD_HOLDS: Micros = 500_000;
 /// Peers that are remembered for one server.
 const PEERS_MOST: usize = 64;
-/// A server is quiet to others where this many gates say so.
-const QUIET_TO: usize = 2;
+/// A server is out of order to others where this many gates say so.
+const SUSPECT_TO: usize = 2;
 /// What was measured before counts for this part at each further measurement.
-const FADES: f64 = 0.98;
+const FADES: f64 = 0.99;
+/// A measurement counts as no longer than this many times what was to be expected.
+const OUTLIER: f64 = 4.0;
+/// Where prompts differ in length by less than this part, as a variance, all time counts as reading.
+const SPREAD_LEAST: f64 = 0.01;
 /// Tokens measured before a pace is known.
 const TOKENS_LEAST: f64 = 20_000.0;
 
@@ -71,45 +75,80 @@
     }
 }
 
-/// Other gates that find a server quiet, and when each said so last.
+/// Other gates that find a server out of order, and when each said so last.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct ToldQuiet {
+pub(crate) struct ToldSuspect {
     peers: SmallVec<[(u64, Micros); 2]>,
 }
 
-impl ToldQuiet {
-    /// A peer told whether it finds the server quiet.
-    pub fn told(&mut self, now: Micros, peer: u64, quiet: bool) {
+impl ToldSuspect {
+    /// A peer told whether it finds the server out of order.
+    pub fn told(&mut self, now: Micros, peer: u64, suspect: bool) {
         self.peers.retain(|(known, at)| *known != peer && at.saturating_add(TOLD_HOLDS) > now);
-        if quiet && self.peers.len() < PEERS_MOST {
+        if suspect && self.peers.len() < PEERS_MOST {
             self.peers.push((peer, now));
         }
     }
 
-    /// True where so many find it quiet that it is not the way of one of them that is at fault.
+    /// True where so many find it so that it is not the way of one of them that is at fault.
     pub fn by_several(&self, now: Micros) -> bool {
-        self.peers.iter().filter(|(_, at)| at.saturating_add(TOLD_HOLDS) > now).count() >= QUIET_TO
+        self.peers.iter().filter(|(_, at)| at.saturating_add(TOLD_HOLDS) > now).count() >= SUSPECT_TO
     }
 }
 
-/// The time that servers of a service take over a token that waits to be read.
+/// The time to a first byte at servers of a service: a line over the tokens that wait to be read, fitted by least
+/// squares. What it takes without any token, such as the way there and back, is no reading.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Pace {
+    /// Sums over the measurements, the older ones faded: their number, tokens, times, squares and products.
+    count: f64,
     tokens: f64,
     took: f64,
+    tokens_squared: f64,
+    tokens_took: f64,
 }
 
 impl Pace {
     /// So many tokens, those in front among them, were read in that time.
     pub fn measured(&mut self, tokens: u64, took: Micros) {
-        self.tokens = self.tokens * FADES + tokens as f64;
-        self.took = self.took * FADES + took as f64;
+        let (tokens, took) = (tokens as f64, self.bounded(tokens as f64, took as f64));
+        self.count = self.count * FADES + 1.0;
+        self.tokens = self.tokens * FADES + tokens;
+        self.took = self.took * FADES + took;
+        self.tokens_squared = self.tokens_squared * FADES + tokens * tokens;
+        self.tokens_took = self.tokens_took * FADES + tokens * took;
+    }
+
+    /// One measurement counts as no longer than a multiple of what was to be expected.
+    fn bounded(&self, tokens: f64, took: f64) -> f64 {
+        match self.is_known() {
+            true => took.min(OUTLIER * (self.first() + self.of_token() * tokens)),
+            false => took,
+        }
+    }
+
+    fn is_known(&self) -> bool {
+        self.tokens >= TOKENS_LEAST
+    }
+
+    /// Microseconds over a token.
+    fn of_token(&self) -> f64 {
+        let spread = self.count * self.tokens_squared - self.tokens * self.tokens;
+        if spread <= self.tokens_squared * SPREAD_LEAST {
+            return self.took / self.tokens;
+        }
+        ((self.count * self.tokens_took - self.tokens * self.took) / spread).max(0.0)
+    }
+
+    /// The time to a first byte without any token, in microseconds.
+    fn first(&self) -> f64 {
+        ((self.took - self.of_token() * self.tokens) / self.count).max(0.0)
     }
 
     /// The time over so many tokens, in microseconds; 0 where no pace is known.
     pub fn over(&self, tokens: u64) -> f64 {
-        match self.tokens >= TOKENS_LEAST {
-            true => tokens as f64 * self.took / self.tokens,
+        match self.is_known() {
+            true => tokens as f64 * self.of_token(),
             false => 0.0,
         }
     }
--- a/crates/routing/src/reading/tests.rs
+++ b/crates/routing/src/reading/tests.rs
@@ -51,3 +51,29 @@
     assert_eq!(waits(u64::MAX, 0), PROMPT_MOST);
     assert_eq!(waits(10, 20), 0);
 }
+
+#[test]
+fn the_way_there_and_back_is_no_reading() {
+    let mut pace = Pace::default();
+    for tokens in [500, 20_000, 1_000, 3_000, 12_000, 700] {
+        pace.measured(tokens, 60_000 + 7 * tokens);
+    }
+    assert!((pace.over(1_000) - 7_000.0).abs() < 1.0, "{}", pace.over(1_000));
+    assert!((pace.first() - 60_000.0).abs() < 10.0, "{}", pace.first());
+}
+
+#[test]
+fn prompts_of_one_length_tell_a_pace_too() {
+    let mut pace = Pace::default();
+    (0..10).for_each(|_| pace.measured(5_000, 50_000));
+    assert!((pace.over(1_000) - 10_000.0).abs() < 1.0);
+    assert_eq!(pace.first().round(), 0.0);
+}
+
+#[test]
+fn one_answer_that_takes_for_ever_hardly_changes_the_pace() {
+    let mut pace = Pace::default();
+    (0..50).for_each(|n| pace.measured(1_000 + 100 * n, 60_000 + 7 * (1_000 + 100 * n)));
+    pace.measured(1_000, 10_000_000);
+    assert!(pace.first() + pace.over(1_000) < 100_000.0);
+}
--- a/tools/control_days.py
+++ b/tools/control_days.py
@@ -180,6 +180,13 @@
 day("pair-slow-disk-cut", "A disk is slow while another coordinator is cut off.",
     [dict(at=4.0, kind="disk_slow", count=1, for_s=20.0), dict(at=14.0, kind="core_cut", how="leader meet", for_s=5.0)])
 
+# The coordinators cut into two halves, which more losses than are tolerated may be. Last, so that the others keep their
+# seeds.
+for how in ["split", "split one_way", "split meet", "split leader race"]:
+    once_more = thrice("core_cut", how, for_s=6.0)
+    day("core-cut-" + how.replace("_", "-").replace(" ", "-"),
+        f"The coordinators are cut into two halves for 6 s, three times; variant: {how}.", once_more)
+
 CUT_TWENTY_SECONDS = """\
 # The coordinator that acted last is cut off for 20 s while one and two changes at a time are sent to it.
 name = "cut-twenty-seconds"
