--- a/crates/coordinator/src/state.rs
+++ b/crates/coordinator/src/state.rs
@@ -31,7 +31,7 @@
 const GATE_PATIENCE: Micros = 1_300_000;
 
 /// Clients ask again after this many seconds at the latest: so long a gate that was lost may still get their requests.
-const TTL_MOST_S: f64 = 2.0;
+const TTL_MOST_S: f64 = 1.0;
 
 /// Why a word isn't acknowledged.
 const OUT_OF_CONTACT: &str = "no majority of the coordinators is in contact";
--- a/crates/routing/src/decider/search.rs
+++ b/crates/routing/src/decider/search.rs
@@ -106,7 +106,7 @@
     ) -> Search {
         let scope = self.scope(call, service);
         if self.is_out_of_reach(now, &scope) {
-            return Search::None(Reason::Nobody { until: Some(paths::ASK_EVERY) });
+            return Search::None(Reason::Nobody { until: Some(paths::GONE_ROUND_IN) });
         }
         if let Some(found) = self.trial(now, call, &scope, limits) {
             return Search::Found(found);
--- a/crates/routing/src/paths.rs
+++ b/crates/routing/src/paths.rs
@@ -10,6 +10,9 @@
 const UNANSWERED: usize = 2;
 /// A region that can't be reached is asked for a sign this often.
 pub(crate) const ASK_EVERY: Micros = 400_000;
+/// A client whose requests are all at home in such regions has mostly found a gate elsewhere after this long: the
+/// directory forgets gates within about as much, and clients ask it as often.
+pub(crate) const GONE_ROUND_IN: Micros = 1_000_000;
 
 /// The way to one region.
 #[derive(Clone, Copy, Debug, Default)]
