--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -11,7 +11,9 @@
 use std::time::Duration;
 
 use ironmast_schema::configuration::Configuration;
-use ironmast_schema::control::{ControlState, Entry, FromGate, InstanceRecord, Key, Standing, ToGate, Value};
+use ironmast_schema::control::{
+    ControlState, Entry, FromGate, GateRecord, InstanceRecord, Key, Standing, ToGate, Value,
+};
 use ironmast_schema::registration::Heartbeat;
 use ironmast_schema::settings::Settings;
 use ironmast_transport::link::{self, Receiver, Sender};
@@ -60,6 +62,8 @@
 pub struct Stage {
     pub frontend: SocketAddr,
     pub readiness: SocketAddr,
+    /// Where it hears the other gates of its region.
+    pub peers: SocketAddr,
     receiver: Receiver<FromGate>,
     sender: Sender<ToGate>,
     terminate: Rc<Notify>,
@@ -117,7 +121,8 @@
         let (stream, _) = agent.accept().await.expect("the gate calls its agent");
         let (receiver, sender) = link::split(stream).expect("a link");
         let ports = [frontend_port, readiness_port];
-        Stage { frontend, readiness, receiver, sender, terminate, served, _ports: ports }
+        let peers = SocketAddr::from(([127, 0, 0, 1], port + 1));
+        Stage { frontend, readiness, peers, receiver, sender, terminate, served, _ports: ports }
     }
 
     /// News of the agent.
@@ -156,6 +161,12 @@
     listed(&server.instance, server.address, zone, version, standing)
 }
 
+/// What is known of another gate of the region, at that address.
+pub fn gate(address: [u8; 4]) -> Entry {
+    let record = GateRecord { zone: HERE.to_string(), region: "north".to_string(), ready: true, gone: false };
+    Entry { key: Key::Gate(SocketAddr::from((address, 80))), version: 1, value: Value::Gate(record) }
+}
+
 fn listed(id: &str, address: SocketAddr, zone: &str, version: u64, standing: Standing) -> Entry {
     let body = format!(
         r#"{{"backend":"x","address":"{}","zone":"{zone}","capacity":8,"state":"ready","sequence":{version}}}"#,
