Requests that are given up are lost with their connection, not delivered after a partition

Cause: an attempt that was given up closed its connection in order, and the kernel went on sending what the server had not acknowledged.

Change: transport resets a connection that is dropped with its request written and its response incomplete (client proxy and gate). The relay of the fault injection loses what it holds of a connection that its sender resets, as TCP does, and never opens one that was given up in a cut.

Ruled out: a zero linger on every connection, which would also reset idle ones and those of responses that are complete.

The shipped cuts stay as short as they are, with their test.

--- a/crates/fault-injection/src/relay.rs
+++ b/crates/fault-injection/src/relay.rs
@@ -3,8 +3,9 @@
 //! A relay listens on a port of the system's choice on 127.0.0.1 and forwards each connection to
 //! one target, also on loopback. Bytes from the connecting end travel on the link `FROM->TO`,
 //! responses on `TO->FROM`. Bytes that meet a cut are held and forwarded once the cut is over, as
-//! TCP's retransmissions would; connections opened during a cut are held without a response. A
-//! relay owns every socket it opens, and closes them when it is dropped.
+//! TCP's retransmissions would, unless their sender has reset the connection meanwhile: they are lost
+//! then, and the other end learns of the reset after the cut. Connections opened during a cut are
+//! held without a response. A relay owns every socket it opens, and closes them when it is dropped.
 
 mod faults;
 mod link;
--- a/crates/fault-injection/src/relay/link.rs
+++ b/crates/fault-injection/src/relay/link.rs
@@ -55,6 +55,13 @@
     /// The relay is stopping.
     Stop,
     Reset,
+    /// The sender has reset the connection while a cut held the chunk, which is lost with it.
+    SenderReset,
+}
+
+/// Whether the peer of a socket has reset the connection since this was last asked.
+fn was_reset(stream: &TcpStream) -> bool {
+    !matches!(rustix::net::sockopt::socket_error(stream), Ok(Ok(())))
 }
 
 /// Makes the end of a socket a reset instead of an orderly close.
@@ -98,6 +105,10 @@
             }
             std::thread::sleep(POLL_INTERVAL);
         }
+        if was_reset(&client) {
+            // The bytes that wait in it are lost.
+            return reset(&client);
+        }
         let action = self.faults.action(&self.from, &self.to, 0.0);
         if matches!(action, Action::Reset | Action::Refuse) {
             self.counts.resets.fetch_add(1, Ordering::Relaxed);
@@ -164,6 +175,7 @@
                     self.counts.resets.fetch_add(1, Ordering::Relaxed);
                     break;
                 }
+                Passage::SenderReset => break,
             }
             if (&*direction.sink).write_all(&chunk[..length]).is_err() {
                 break;
@@ -181,18 +193,21 @@
         length: usize,
         random: &mut Xoshiro256PlusPlus,
     ) -> Passage {
-        let mut is_counted = false;
+        let mut is_held = false;
+        let mut is_reset = false;
         loop {
+            is_reset |= is_held && was_reset(&direction.source);
             let jitter = random.random::<f64>();
             match self.faults.action(direction.from, direction.to, jitter) {
                 Action::Blackhole if self.is_stopped() => return Passage::Stop,
                 Action::Blackhole => {
-                    if !is_counted {
+                    if !is_held {
                         self.counts.held.fetch_add(1, Ordering::Relaxed);
-                        is_counted = true;
+                        is_held = true;
                     }
                     std::thread::sleep(POLL_INTERVAL);
                 }
+                _ if is_reset => return Passage::SenderReset,
                 Action::Reset => return Passage::Reset,
                 Action::Delay(delay) => {
                     std::thread::sleep(delay);
--- a/crates/fault-injection/src/scenario/tests.rs
+++ b/crates/fault-injection/src/scenario/tests.rs
@@ -89,8 +89,10 @@
     files.map(read).collect()
 }
 
-/// A cut delivers late what it kept. A pay server to which the late copy of a deduplicated request
-/// comes after its window executes the request again, although no proxy has broken a rule.
+/// A cut delivers late what it kept of a connection that was not reset. A pay server to which the late
+/// copy of a deduplicated request comes after its window executes the request again. Proxies reset the
+/// connections of requests that they give up; a partition that outlasts the window is a test of its
+/// own in `ironmast/tests/silent_zone.rs`.
 #[test]
 fn shipped_cuts_of_a_deduplicated_class_end_before_its_window() {
     let mut checked = 0;
--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -160,6 +160,11 @@
             .expect("another request")
     }
 
+    /// The next request on the same connection, unless that ends first.
+    pub(crate) async fn try_next_on_connection(self) -> Option<ReceivedRequest> {
+        ReceivedRequest::read(self.stream).await
+    }
+
     /// Waits until the gate closes the connection.
     pub(crate) async fn wait_until_closed(mut self) {
         let mut ignored = String::new();
--- a/crates/ironmast/tests/silent_zone.rs
+++ b/crates/ironmast/tests/silent_zone.rs
@@ -58,6 +58,26 @@
     an_isolated_proxy_responds_and_serves_again_once_it_reaches_servers "alone"
 }
 
+/// TCP sends on what a connection that is closed in order has not delivered. Behind the deduplication
+/// window of 4 s that would execute a request a second time, so a request that is given up has to be
+/// lost with its connection.
+#[test]
+fn requests_given_up_in_a_partition_that_outlasts_the_window_are_never_delivered() {
+    let shipped = include_str!("../../../scenarios/stage/zone-one-way-there.toml");
+    let partition = shipped.split("[[expect.span]]").next().expect("a fault");
+    let text = partition
+        .replace("for_s = 3.0", "for_s = 6.0")
+        .replace("length_s = 9.0", "length_s = 10.0");
+    assert!(text.contains("for_s = 6.0") && text.contains("length_s = 10.0"));
+    let result = run_scenario(&text);
+    assert!(result.passed(), "{}", failure_report(&result));
+    assert!(
+        result.verdict.executed_twice.is_empty(),
+        "{}",
+        failure_report(&result)
+    );
+}
+
 /// The test of the check itself: a run that violates an assertion does not pass.
 #[test]
 fn a_scenario_whose_assertion_is_violated_does_not_pass() {
--- a/crates/transport/src/observed_stream.rs
+++ b/crates/transport/src/observed_stream.rs
@@ -168,6 +168,13 @@
         }
     }
 
+    /// Makes the end of the stream a reset instead of an orderly close: what the peer has not
+    /// acknowledged by then is never sent to it.
+    pub fn reset_on_drop(&self) {
+        // It fails only where the connection has ended already, and with it what was to be sent.
+        let _ = self.socket.borrow().stream.set_zero_linger();
+    }
+
     /// A watch for bytes that arrive while nobody reads; it must run in the reader's task.
     pub fn watch_unread(&self) -> UnreadWatch {
         UnreadWatch(Rc::downgrade(&self.socket))
--- a/crates/transport/src/response_validation.rs
+++ b/crates/transport/src/response_validation.rs
@@ -195,6 +195,19 @@
     }
 }
 
+impl Drop for ValidatingStream {
+    /// Resets a connection whose request was given up. Closed in order, the kernel would go on sending
+    /// what the server has not acknowledged; after a partition that would execute the request, when
+    /// a retry of it may have been executed long ago.
+    fn drop(&mut self) {
+        if let Some(stream) = &self.stream
+            && self.validator.is_response_incomplete()
+        {
+            stream.reset_on_drop();
+        }
+    }
+}
+
 /// Why nothing can be written to a connection that must not be reused.
 fn reuse_forbidden() -> io::Error {
     io::Error::new(
--- a/crates/transport/src/response_validation/validator.rs
+++ b/crates/transport/src/response_validation/validator.rs
@@ -103,6 +103,11 @@
         self.reuse_forbidden && matches!(self.state, State::Idle)
     }
 
+    /// Whether bytes of a request have been written and its response is not complete.
+    pub(super) fn is_response_incomplete(&self) -> bool {
+        !matches!(self.state, State::Idle)
+    }
+
     /// Whether the connection must not be used for another request.
     pub(super) fn is_reuse_forbidden(&self) -> bool {
         let expired = |until| Instant::now() >= until;
--- a/crates/transport/tests/pass_through/connection_reuse.rs
+++ b/crates/transport/tests/pass_through/connection_reuse.rs
@@ -271,3 +271,47 @@
         assert!(!asks_anew(&stage, &mut peer).await);
     });
 }
+
+/// What the kernel has not delivered of a request that is given up is lost with its connection.
+#[test]
+fn a_connection_whose_response_is_incomplete_is_reset() {
+    play(async {
+        for written in [
+            String::new(),
+            head(ID, CHUNKED),
+            format!("{}hello", head(ID, SIZED)),
+        ] {
+            let stage = Stage::start().await;
+            let state = attempt(passing());
+            let mut ask = Box::pin(stage.ask(&state, Method::GET));
+            let serve = async {
+                let mut peer = stage.accept().await;
+                peer.request().await;
+                peer.write(&written).await;
+                peer
+            };
+            let (answer, mut peer) = if written.is_empty() {
+                let peer = tokio::select! {
+                    _ = &mut ask => panic!("no response was written"),
+                    peer = serve => peer,
+                };
+                (None, peer)
+            } else {
+                let (answer, peer) = futures_util::future::join(&mut ask, serve).await;
+                (Some(answer.expect("its head")), peer)
+            };
+            drop((ask, answer));
+            assert!(!peer.closed_in_order().await, "behind {written:?}");
+        }
+    });
+}
+
+#[test]
+fn an_idle_connection_is_closed_in_order() {
+    play(async {
+        let stage = Stage::start().await;
+        let mut peer = answered(&stage, SIZED, "helloworld", "").await;
+        drop(stage);
+        assert!(peer.closed_in_order().await);
+    });
+}
--- a/crates/transport/tests/pass_through/support.rs
+++ b/crates/transport/tests/pass_through/support.rs
@@ -186,6 +186,12 @@
         let _ = self.0.read_to_end(&mut rest).await;
     }
 
+    /// Waits until the client has closed its side; whether it did so in order.
+    pub(crate) async fn closed_in_order(&mut self) -> bool {
+        let mut rest = Vec::new();
+        self.0.read_to_end(&mut rest).await.is_ok()
+    }
+
     /// Ends its own side.
     pub(crate) async fn end(&mut self) {
         self.0.shutdown().await.expect("ended");
