SIGHUP reaches limits, region and zones of a gate; a rising number of gates resets no budget

Cause: a gate read its timing bounds and the decider its region and zone at the start only, and built no table after SIGHUP; the retry budget was rebuilt whenever the number of gates rose, which forgot its counts and withheld the burst for a window; agent and coordinator ignored invalid settings silently; internal_port_range [0, 65535] overflowed, and .inf and .nan were accepted (retry_window_s .inf ended the gate).

Change: Gate::replace_settings passes the bounds to the limits and region and zone to the decider and has the table built anew; the budget keeps its counts when its share or bound changes. Since a budget is no longer withheld after each new gate, a gate that starts uses no burst until two seconds more than a window have passed: others know of it by then. An agent reports its gate's new region and zone. All roles log invalid settings.

--- a/crates/agent/src/gate_reporter.rs
+++ b/crates/agent/src/gate_reporter.rs
@@ -42,6 +42,23 @@
         }
     }
 
+    /// Replaces zone and region, from the next status on; the current one is reported again.
+    pub(crate) fn set_location(&mut self, settings: &Settings) {
+        if self.zone == settings.zone && self.region == settings.region {
+            return;
+        }
+        self.zone.clone_from(&settings.zone);
+        self.region.clone_from(&settings.region);
+        let Some(mut entry) = self.renew() else {
+            return;
+        };
+        if let Value::Gate(record) = &mut entry.value {
+            record.zone.clone_from(&self.zone);
+            record.region.clone_from(&self.region);
+        }
+        self.latest.send_replace(Some(entry));
+    }
+
     /// Reports that the gate is up.
     pub(crate) fn report_up(&mut self, status: ReportedStatus) {
         self.report(status, false);
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -26,7 +26,7 @@
 use ironmast_overlay_transport::OverlayHandle;
 use ironmast_schema::control::Entry;
 use ironmast_schema::settings::{InternalPort, Settings};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
 
@@ -49,6 +49,7 @@
     overlay: OverlayHandle,
     /// Entries that the overlay has received.
     entries: mpsc::UnboundedReceiver<Entry>,
+    log: Logger,
 }
 
 impl Agent {
@@ -78,6 +79,7 @@
             state,
             overlay,
             entries,
+            log: log.clone(),
         })
     }
 
@@ -91,14 +93,24 @@
         }
     }
 
-    /// Takes over the seeds of the settings file; a file that cannot be read is ignored.
+    /// Takes over the seeds, the zone and the region of the settings file; an invalid one changes
+    /// nothing.
     fn reload(&self) {
-        if let Ok(settings) = Settings::from_environment() {
-            self.overlay.set_seeds(&settings);
-            self.state
-                .borrow_mut()
-                .add_coordinators(&settings.seed_coordinators());
-        }
+        let settings = match Settings::from_environment() {
+            Ok(settings) => settings,
+            Err(error) => {
+                warn!(
+                    self.log,
+                    "cannot reload the settings, keeping the current ones"; "error" => %error
+                );
+                return;
+            }
+        };
+        self.overlay.set_seeds(&settings);
+        let mut state = self.state.borrow_mut();
+        state.add_coordinators(&settings.seed_coordinators());
+        state.gate_reporter.set_location(&settings);
+        info!(self.log, "settings reloaded");
     }
 
     /// Continues until the gate has disconnected, or for `grace_period` at most, as the gate still
--- a/crates/coordinator/src/event_loop.rs
+++ b/crates/coordinator/src/event_loop.rs
@@ -11,7 +11,7 @@
 use ironmast_overlay_transport::OverlayHandle;
 use ironmast_schema::control::Entry;
 use ironmast_schema::settings::{InternalPort, Settings};
-use slog::Logger;
+use slog::{Logger, info, warn};
 use tokio::signal::unix::Signal;
 use tokio::sync::mpsc;
 use tokio::time::Interval;
@@ -38,6 +38,7 @@
     entries: mpsc::UnboundedReceiver<Entry>,
     tick: Interval,
     reload: Signal,
+    log: Logger,
 }
 
 impl EventLoop {
@@ -83,6 +84,7 @@
             entries,
             tick: tokio::time::interval(TICK_INTERVAL),
             reload,
+            log: log.clone(),
         })
     }
 
@@ -105,12 +107,21 @@
         }
     }
 
-    /// Reads the seeds from the settings again. Settings that are not valid are ignored.
+    /// Reads the seeds from the settings again; invalid settings change nothing.
     fn reload_seeds(&self) {
-        if let Ok(settings) = Settings::from_environment() {
-            self.overlay.set_seeds(&settings);
-            links::connect(&self.node, &settings.seed_coordinators());
-        }
+        let settings = match Settings::from_environment() {
+            Ok(settings) => settings,
+            Err(error) => {
+                warn!(
+                    self.log,
+                    "cannot reload the settings, keeping the current ones"; "error" => %error
+                );
+                return;
+            }
+        };
+        self.overlay.set_seeds(&settings);
+        links::connect(&self.node, &settings.seed_coordinators());
+        info!(self.log, "settings reloaded");
     }
 
     /// Announces the shutdown to the other nodes. If another coordinator can take the replica's
--- a/crates/gate/src/feed.rs
+++ b/crates/gate/src/feed.rs
@@ -84,10 +84,18 @@
                     rebuild_at.get_or_insert_with(|| Instant::now() + BATCH_WINDOW);
                 }
                 () = self.gate.status_changed.notified() => {}
+                () = self.gate.settings_changed.notified() => self.apply_settings(),
             }
         }
     }
 
+    /// Builds the table anew after the settings have changed, if there is one.
+    fn apply_settings(&mut self) {
+        if self.store.configuration().is_some() {
+            self.rebuild_table();
+        }
+    }
+
     fn apply_warmup_events(&self, events: Vec<WarmupEvent>) {
         let now = self.gate.clock.now();
         let mut limits = self.gate.limits.borrow_mut();
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -46,6 +46,8 @@
     pub upstream: UpstreamClients,
     /// Notified when the agent must learn whether this gate is ready.
     pub status_changed: Notify,
+    /// Notified when the table must be built anew by other settings.
+    pub settings_changed: Notify,
     /// The addresses at which the other gates of the region receive this one's load.
     pub peers: RefCell<Vec<SocketAddr>>,
     /// When the gate started.
@@ -79,6 +81,7 @@
             configured: watch::Sender::new(false),
             shutdown_began_at: Cell::new(None),
             status_changed: Notify::new(),
+            settings_changed: Notify::new(),
             peers: RefCell::default(),
             accepting: RefCell::default(),
         })
@@ -108,6 +111,19 @@
         )
     }
 
+    /// Replaces the settings. Listeners, descriptors and memory stay as they were at the start.
+    pub(crate) fn replace_settings(&self, settings: Settings) {
+        let now = self.clock.now();
+        self.limits
+            .borrow_mut()
+            .set_bounds(now, &settings.timing_bounds);
+        self.decider
+            .borrow_mut()
+            .set_location(&settings.region, &settings.zone);
+        self.settings.replace(settings);
+        self.settings_changed.notify_one();
+    }
+
     /// Replaces the table that decisions are based on, and the gates that share the limits.
     pub(crate) fn install_table(&self, table: Table, gates: GateSet) {
         let now = self.clock.now();
@@ -120,9 +136,7 @@
             .map(|server| (server.instance.clone(), server.clone()))
             .collect();
         self.accepting.replace(accepting);
-        self.limits
-            .borrow_mut()
-            .update(now, gates, table.services());
+        self.limits.borrow_mut().update(gates, table.services());
         let addresses: FxHashSet<_> = table
             .servers()
             .iter()
--- a/crates/gate/src/limits.rs
+++ b/crates/gate/src/limits.rs
@@ -22,12 +22,18 @@
 /// The longest time that a heartbeat takes to reach a gate.
 const MAX_HEARTBEAT_DELAY: Duration = Duration::from_secs(1);
 
+/// The longest time until the other gates know of one that has started, and use smaller shares. It
+/// uses none of the retry budget's burst until they have done so for a window.
+const MAX_GATE_NEWS_DELAY: Duration = Duration::from_secs(2);
+
 /// This gate's share of the warm-up limits and the retry budgets.
 pub(crate) struct Limits {
     /// The factor by which all gates together may exceed a warm-up limit.
     overshoot: f64,
     /// The number of requests by which they may exceed it in addition.
     tolerance: f64,
+    /// The services of the current table.
+    services: Vec<ServiceSpec>,
     /// The gates that share the warm-up limits.
     gates: GateSet,
     /// The number of gates that the limits are divided by; it never falls, because gates that are no
@@ -41,7 +47,6 @@
     /// The incarnations whose warm-up must be queried, because earlier reports are void.
     invalidated: FxHashSet<Arc<str>>,
     retry: ironmast_limits::RetryBudget<Arc<str>>,
-    retry_settings: RetryBudgetSettings,
 }
 
 /// The warm-up limit of a service's servers.
@@ -56,62 +61,61 @@
     /// The limits of a gate that starts now.
     pub(crate) fn new(bounds: &TimingBounds, now: Micros) -> Self {
         let started = to_duration(now);
-        let retry_settings = RetryBudgetSettings {
-            ratio: bounds.retry_budget_ratio,
-            burst: bounds.retry_burst as u32,
-            window: Duration::from_secs_f64(bounds.retry_window_s),
-        };
         let gates = GateSet::default();
         let divisor = gates.divisor();
+        let retry = ironmast_limits::RetryBudget::with_even_share(
+            retry_settings(bounds),
+            divisor,
+            started + MAX_GATE_NEWS_DELAY,
+        );
         Limits {
             overshoot: bounds.warmup_overshoot,
             tolerance: bounds.warmup_tolerance,
+            services: Vec::new(),
             gates,
             divisor,
             started,
             warmup: FxHashMap::default(),
             tracker: WarmupTracker::default(),
             invalidated: FxHashSet::default(),
-            retry: ironmast_limits::RetryBudget::with_even_share(retry_settings, divisor, started),
-            retry_settings,
+            retry,
         }
     }
 
+    /// Replaces the bounds by those of settings that were read again. What was sent counts on.
+    pub(crate) fn set_bounds(&mut self, now: Micros, bounds: &TimingBounds) {
+        self.overshoot = bounds.warmup_overshoot;
+        self.tolerance = bounds.warmup_tolerance;
+        self.retry
+            .set_settings(retry_settings(bounds), self.divisor, to_duration(now));
+        self.update_warmup_bounds();
+    }
+
     /// Sets the current services and the gates that share the limits. Gates that are no longer
     /// known count as well, because they may still send.
-    pub(crate) fn update(&mut self, now: Micros, gates: GateSet, services: &[ServiceSpec]) {
-        let divisor = gates.divisor().max(self.divisor);
-        if divisor != self.divisor {
-            self.retry = ironmast_limits::RetryBudget::with_even_share(
-                self.retry_settings,
-                divisor,
-                to_duration(now),
-            );
-        }
-        self.divisor = divisor;
+    pub(crate) fn update(&mut self, gates: GateSet, services: &[ServiceSpec]) {
+        self.divisor = gates.divisor().max(self.divisor);
+        self.retry.set_even_share(self.divisor);
         self.gates = gates;
-        self.warmup
-            .retain(|name, _| services.iter().any(|service| service.name == *name));
-        for service in services {
-            self.update_warmup(service);
-        }
+        self.services = services.to_vec();
+        self.update_warmup_bounds();
     }
 
-    fn update_warmup(&mut self, service: &ServiceSpec) {
-        let bound = slow_start_bound(service.warmup_per_s, self.overshoot, self.tolerance);
-        if bound == 0 {
-            self.warmup.remove(&service.name);
-            return;
+    /// Sets the warm-up limits of the current services; what was sent to their servers counts on.
+    fn update_warmup_bounds(&mut self) {
+        let mut limits = std::mem::take(&mut self.warmup);
+        for service in &self.services {
+            let bound = slow_start_bound(service.warmup_per_s, self.overshoot, self.tolerance);
+            if bound == 0 {
+                continue;
+            }
+            let create = || SlowStartLimiter::with_even_share(bound, self.divisor, self.started);
+            let limiter = limits
+                .remove(&service.name)
+                .map_or_else(create, |limit| limit.limiter);
+            self.warmup
+                .insert(service.name.clone(), WarmupLimit { bound, limiter });
         }
-        let create = || WarmupLimit {
-            bound,
-            limiter: SlowStartLimiter::with_even_share(bound, self.divisor, self.started),
-        };
-        let limit = self
-            .warmup
-            .entry(service.name.clone())
-            .or_insert_with(create);
-        limit.bound = bound;
     }
 
     /// Whether servers of a service are limited while they are warming up.
@@ -227,6 +231,14 @@
     }
 }
 
+fn retry_settings(bounds: &TimingBounds) -> RetryBudgetSettings {
+    RetryBudgetSettings {
+        ratio: bounds.retry_budget_ratio,
+        burst: bounds.retry_burst as u32,
+        window: Duration::from_secs_f64(bounds.retry_window_s),
+    }
+}
+
 fn to_duration(at: Micros) -> Duration {
     Duration::from_micros(at)
 }
--- a/crates/gate/src/limits/tests.rs
+++ b/crates/gate/src/limits/tests.rs
@@ -57,7 +57,6 @@
     };
     let mut limits = Limits::new(&bounds, START);
     limits.update(
-        START,
         gate_set(16),
         &[service("cold", 10.0), service("plain", 0.0)],
     );
@@ -145,3 +144,66 @@
     // Half of a ratio of 0.1; a burst of 10 leaves nothing for each of 16 gates.
     assert_eq!(retries, 5);
 }
+
+/// Retries that the service `plain` gets at once, of at most 100.
+fn count_retries(limits: &mut Limits, now: Micros) -> usize {
+    withdraw_at_most(100, limits, now)
+}
+
+fn withdraw_at_most(retries: usize, limits: &mut Limits, now: Micros) -> usize {
+    let plain = service("plain", 0.0);
+    (0..retries)
+        .take_while(|_| limits.withdraw(now, &plain))
+        .count()
+}
+
+#[test]
+fn more_gates_do_not_reset_the_retry_budget() {
+    let bounds = TimingBounds {
+        retry_budget_ratio: 0.2,
+        retry_burst: 64.0,
+        ..TimingBounds::default()
+    };
+    let mut limits = Limits::new(&bounds, START);
+    let plain = service("plain", 0.0);
+    limits.update(gate_set(8), std::slice::from_ref(&plain));
+    let now = START + 20 * SECOND;
+    (0..50).for_each(|_| limits.deposit(now, &plain));
+    assert_eq!(withdraw_at_most(3, &mut limits, now), 3);
+    limits.update(gate_set(16), std::slice::from_ref(&plain));
+    assert_eq!(
+        count_retries(&mut limits, now),
+        6,
+        "5 by the ratio and 4 of the burst, less 3"
+    );
+}
+
+#[test]
+fn settings_that_were_read_again_change_the_limits_and_keep_the_counts() {
+    let mut limits = limits();
+    let now = START + 20 * SECOND;
+    let cold = server("i", "cold");
+    assert_eq!(count_permits(&mut limits, now, &cold), 1);
+    // 640 for 16 gates, none of it reserved for the region of the gate.
+    let raised = TimingBounds {
+        warmup_overshoot: 64.0,
+        warmup_tolerance: 0.0,
+        retry_budget_ratio: 0.0,
+        retry_burst: 160.0,
+        ..TimingBounds::default()
+    };
+    limits.set_bounds(now, &raised);
+    assert_eq!(count_permits(&mut limits, now, &cold), 40 - 1);
+    assert_eq!(count_retries(&mut limits, now), 10);
+    let unlimited = TimingBounds {
+        warmup_overshoot: 0.0,
+        warmup_tolerance: 0.0,
+        ..raised
+    };
+    limits.set_bounds(now, &unlimited);
+    assert_eq!(
+        count_permits(&mut limits, now, &cold),
+        100,
+        "no limit is set"
+    );
+}
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -144,7 +144,7 @@
 fn reload_settings(gate: &Gate) {
     match Settings::from_environment() {
         Ok(settings) => {
-            gate.settings.replace(settings);
+            gate.replace_settings(settings);
             info!(gate.log, "settings reloaded");
         }
         Err(error) => {
--- a/crates/ironmast/tests/system/mod.rs
+++ b/crates/ironmast/tests/system/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub(crate) mod client;
+pub(crate) mod server;
 
 use std::fs::{self, File};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
@@ -163,7 +164,7 @@
     /// Writes the settings of a machine and starts a role with them.
     fn start(&self, role: &str, number: u8, bootstrap: Bootstrap) -> Role {
         let mut program = Command::new(env!("CARGO_BIN_EXE_ironmast"));
-        program.args([role, "--log-level", "warning"]);
+        program.args([role, "--log-level", "info"]);
         self.launch(program, role, number, bootstrap)
     }
 
@@ -194,6 +195,15 @@
         Role { child }
     }
 
+    /// Replaces `old` in the settings file of a role on a machine by `new`; the role reads it at its
+    /// next reload.
+    pub(crate) fn edit_settings(&self, role: &str, number: u8, old: &str, new: &str) {
+        let path = self.settings_path(role, number);
+        let settings = fs::read_to_string(&path).expect("settings");
+        assert!(settings.contains(old), "{settings}");
+        fs::write(&path, settings.replace(old, new)).expect("written");
+    }
+
     /// The settings file of a role on a machine.
     pub(crate) fn settings_path(&self, role: &str, number: u8) -> PathBuf {
         self.directory.path().join(format!("{role}-{number}.yaml"))
@@ -304,6 +314,11 @@
         kill_process(Pid::from_child(&self.child), Signal::CONT).expect("signalled");
     }
 
+    /// SIGHUP: it reads its settings again.
+    pub(crate) fn reload(&self) {
+        kill_process(Pid::from_child(&self.child), Signal::HUP).expect("signalled");
+    }
+
     /// SIGKILL.
     pub(crate) fn kill(mut self) {
         self.child.kill().expect("killed");
--- a/crates/ironmast/tests/system_gate.rs
+++ b/crates/ironmast/tests/system_gate.rs
@@ -3,53 +3,15 @@
 
 mod system;
 
-use std::io::{Read as _, Write as _};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::TcpStream;
 
 use awc::http::Method;
 use system::client::{call, configuration, decided, put, status};
-use system::{Site, eventually};
+use system::{Site, eventually, server};
 
 /// The machine of the gate and its agent; the coordinator's is the first.
 const GATE: u8 = 2;
 
-/// A server that answers each request; it ends with the test.
-fn server() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("listens");
-    let at = listener.local_addr().expect("an address");
-    std::thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            std::thread::spawn(move || answer(stream));
-        }
-    });
-    at
-}
-
-fn answer(mut stream: TcpStream) {
-    let mut read = Vec::new();
-    let mut piece = [0; 4_096];
-    while let Ok(length @ 1..) = stream.read(&mut piece) {
-        read.extend_from_slice(&piece[..length]);
-        while let Some(end) = read.windows(4).position(|bytes| bytes == b"\r\n\r\n") {
-            let head = String::from_utf8_lossy(&read[..end]).to_string();
-            read.drain(..end + 4);
-            let id = head.lines().find_map(|line| {
-                let (name, value) = line.split_once(": ")?;
-                name.eq_ignore_ascii_case("x-ironmast-request-id")
-                    .then(|| value.to_string())
-            });
-            let answer = format!(
-                "HTTP/1.1 200 OK\r\nX-Ironmast-Request-Id: {}\r\nX-Ironmast-Server-Signature: s.1\r\n\
-                 X-Ironmast-Instance-Id: i-1\r\nContent-Length: 5\r\n\r\nhello",
-                id.unwrap_or_default()
-            );
-            if stream.write_all(answer.as_bytes()).is_err() {
-                return;
-            }
-        }
-    }
-}
-
 fn served(site: &Site, id: &str) -> Option<()> {
     let headers = [
         ("Host", "a.example"),
@@ -75,7 +37,7 @@
     });
     let beat = format!(
         "{{\"backend\":\"app\",\"address\":\"{}\",\"zone\":\"z1\",\"capacity\":8,\"state\":\"ready\",\"sequence\":1}}",
-        server()
+        server::start()
     );
     assert_eq!(
         status(Method::PUT, at, "/api/instances/i-1", &beat),
--- a/crates/limits/src/retry_budget.rs
+++ b/crates/limits/src/retry_budget.rs
@@ -47,9 +47,8 @@
 /// A gate's part of the retry budget, by key (the service).
 #[derive(Clone, Debug)]
 pub struct RetryBudget<K> {
-    ratio: f64,
+    settings: RetryBudgetSettings,
     burst_share: u32,
-    window: Duration,
     /// The burst is not available before this moment: the previous process may have used it.
     burst_from: Duration,
     services: FxHashMap<K, Usage>,
@@ -76,14 +75,31 @@
         started: Duration,
     ) -> Self {
         Self {
-            ratio: settings.ratio * RATIO_SAFETY_FACTOR,
+            settings,
             burst_share,
-            window: settings.window,
             burst_from: started + send_window(settings.window),
             services: FxHashMap::default(),
         }
     }
 
+    /// Divides the burst evenly among another number of gates. What was counted is kept, so that a
+    /// gate that has sent more than its new share waits until that has left the window.
+    pub fn set_even_share(&mut self, max_gates: u32) {
+        self.burst_share = self.settings.burst / max_gates.max(1);
+    }
+
+    /// Replaces the bound, with an even share of its burst among `max_gates` gates. What was counted
+    /// is kept, unless the window has another length: then it is unknown what was sent in it, and
+    /// the budget begins as that of a process that starts `now`.
+    pub fn set_settings(&mut self, settings: RetryBudgetSettings, max_gates: u32, now: Duration) {
+        if settings.window != self.settings.window {
+            *self = Self::with_even_share(settings, max_gates, now);
+            return;
+        }
+        self.settings = settings;
+        self.set_even_share(max_gates);
+    }
+
     /// Retries that this gate may send in a window in addition to the ratio.
     #[must_use]
     pub fn burst_share(&self) -> u32 {
@@ -117,7 +133,7 @@
     fn check(&mut self, now: Duration, service: &K) -> Result<(), LimitExceeded> {
         let burst_available = now >= self.burst_from;
         let burst = if burst_available { self.burst_share } else { 0 };
-        let ratio = self.ratio;
+        let ratio = self.settings.ratio * RATIO_SAFETY_FACTOR;
         let usage = self.usage(service);
         let allowed = ratio.mul_add(usage.requests.count(now) as f64, f64::from(burst));
         if (usage.retries.count(now) + 1) as f64 <= allowed {
@@ -133,7 +149,7 @@
     }
 
     fn usage(&mut self, service: &K) -> &mut Usage {
-        let window = self.window;
+        let window = self.settings.window;
         self.services
             .entry(service.clone())
             .or_insert_with(|| Usage::new(window))
--- a/crates/limits/src/retry_budget/tests.rs
+++ b/crates/limits/src/retry_budget/tests.rs
@@ -91,3 +91,49 @@
     budget.sweep(ms(31_000));
     assert_eq!(withdrawn(&mut budget, ms(31_000), 5), 1);
 }
+
+/// A budget whose burst is available, and the moment from which on it is.
+fn after_first_window() -> (RetryBudget<&'static str>, Duration) {
+    let budget = RetryBudget::with_even_share(SETTINGS, 8, ms(0));
+    (budget, ms(20_000))
+}
+
+#[test]
+fn more_gates_lower_the_share_and_keep_what_was_counted() {
+    let (mut budget, now) = after_first_window();
+    for _ in 0..20 {
+        budget.deposit(now, &"s");
+    }
+    assert_eq!(withdrawn(&mut budget, now, 3), 3);
+    budget.set_even_share(18);
+    // 2 by the ratio and 3 of the burst; 3 were withdrawn.
+    assert_eq!(withdrawn(&mut budget, now, 100), 2);
+}
+
+#[test]
+fn a_gate_beyond_its_new_share_waits_until_its_retries_have_left_the_window() {
+    let (mut budget, now) = after_first_window();
+    assert_eq!(withdrawn(&mut budget, now, 100), 6);
+    budget.set_even_share(18);
+    assert_eq!(withdrawn(&mut budget, now + ms(5_000), 100), 0);
+    assert_eq!(withdrawn(&mut budget, now + ms(11_000), 100), 3);
+}
+
+#[test]
+fn another_bound_keeps_what_was_counted_but_not_over_another_window() {
+    let (mut budget, now) = after_first_window();
+    assert_eq!(withdrawn(&mut budget, now, 100), 6);
+    let doubled = RetryBudgetSettings {
+        burst: 2 * SETTINGS.burst,
+        ..SETTINGS
+    };
+    budget.set_settings(doubled, 8, now);
+    assert_eq!(withdrawn(&mut budget, now, 100), 13 - 6);
+    let shorter = RetryBudgetSettings {
+        window: ms(5_000),
+        ..SETTINGS
+    };
+    budget.set_settings(shorter, 8, now);
+    assert_eq!(withdrawn(&mut budget, now + ms(5_000), 100), 0);
+    assert_eq!(withdrawn(&mut budget, now + ms(5_100), 100), 6);
+}
--- a/crates/register/src/round.rs
+++ b/crates/register/src/round.rs
@@ -262,6 +262,10 @@
         is_counted || self.rejected.contains(&identity)
     }
 
+    #[cfg_attr(
+        not(feature = "mutations"),
+        expect(clippy::unused_self, reason = "the guards are read in tests only")
+    )]
     fn is_quorum(&self, members: &Membership, voted: impl Fn(Identity) -> bool) -> bool {
         #[cfg(feature = "mutations")]
         if !self.guards.keeps(Guard::JointQuorum) {
--- a/crates/routing/src/decider.rs
+++ b/crates/routing/src/decider.rs
@@ -82,6 +82,17 @@
         })
     }
 
+    /// Moves the gate to a region and a zone. What is known of other regions is dropped.
+    pub fn set_location(&mut self, region: &str, zone: &str) {
+        if *self.settings.region == *region && *self.settings.zone == *zone {
+            return;
+        }
+        self.settings.region = region.into();
+        self.settings.zone = zone.into();
+        self.reachability = RegionReachability::default();
+        self.round_robins.clear();
+    }
+
     /// The current table.
     #[must_use]
     pub fn table(&self) -> &Arc<Table> {
--- a/crates/routing/src/decider/tests/candidates.rs
+++ b/crates/routing/src/decider/tests/candidates.rs
@@ -27,6 +27,16 @@
     });
 }
 
+#[test]
+fn a_gate_that_has_moved_prefers_the_servers_of_its_new_region() {
+    let mut gate = Gate::new(spec(vec![route("a", STREAM)], north_and_south()));
+    crossings(&mut gate, "a", 6);
+    gate.decider.set_location("south", "south-0");
+    assert!(!crossings(&mut gate, "a", 12).contains(&true));
+    let south = gate.serve(gate.prompt("a", 1));
+    assert!(["i-10", "i-11", "i-12"].contains(&&*south), "{south}");
+}
+
 #[test]
 fn other_regions_are_used_when_the_own_has_no_eligible_server() {
     let mut listed = north_and_south();
--- a/crates/schema/src/settings/model.rs
+++ b/crates/schema/src/settings/model.rs
@@ -181,14 +181,18 @@
 }
 
 /// Number of internal ports that the programs use.
-const MIN_INTERNAL_PORTS: u16 = 4;
+const MIN_INTERNAL_PORTS: u32 = 4;
 
 #[expect(
     clippy::trivially_copy_pass_by_ref,
     reason = "garde passes both by reference"
 )]
 fn validate_port_range(range: &[u16; 2], _: &()) -> garde::Result {
-    if range[1] >= range[0] && range[1] - range[0] + 1 >= MIN_INTERNAL_PORTS {
+    let [first, last] = range.map(u32::from);
+    if first == 0 {
+        return Err(garde::Error::new("port 0 is none"));
+    }
+    if last + 1 >= first + MIN_INTERNAL_PORTS {
         return Ok(());
     }
     Err(garde::Error::new(format!(
--- a/crates/schema/src/settings/tests.rs
+++ b/crates/schema/src/settings/tests.rs
@@ -103,6 +103,12 @@
         ("\"10.1.0.35\"\n", "\"nowhere\"\n", "ip_address"),
         ("7675", "7661", "internal_port_range"),
         ("7675", "7000", "internal_port_range"),
+        ("- 7660\n  - 7675", "- 0\n  - 65535", "internal_port_range"),
+        (
+            "- 7660\n  - 7675",
+            "- 65535\n  - 65535",
+            "internal_port_range",
+        ),
         ("memory_mb: 260", "memory_mb: 0", "memory_mb"),
         ("max_fds: 4100", "max_fds: 3", "max_fds"),
         (
@@ -116,6 +122,8 @@
             "retry_budget_ratio: -1",
             "retry_budget_ratio",
         ),
+        ("contact_ms: 5000", "contact_ms: .inf", "contact_ms"),
+        ("contact_ms: 5000", "contact_ms: .nan", "contact_ms"),
     ];
     for (piece, instead, field) in cases {
         let line = rejection(piece, instead);
@@ -125,6 +133,32 @@
     }
 }
 
+#[test]
+fn infinite_bounds_and_bounds_that_are_no_numbers_are_rejected() {
+    let fields = [
+        "grace_period_s",
+        "retry_budget_ratio",
+        "retry_window_s",
+        "retry_burst",
+        "warmup_overshoot",
+        "warmup_tolerance",
+        "ttl_max_s",
+    ];
+    for field in fields {
+        for value in [".inf", "-.inf", ".nan", "1e300"] {
+            let line = rejection("retry_budget_ratio: 0.2", &format!("{field}: {value}"));
+            assert!(line.contains(field), "{field}: {value}: {line}");
+        }
+    }
+}
+
+#[test]
+fn a_port_range_up_to_the_last_port_is_accepted() {
+    let text = VALID.replacen("- 7660\n  - 7675", "- 65532\n  - 65535", 1);
+    let settings = parse(&text).expect("four ports");
+    assert_eq!(settings.internal_port(InternalPort::Gate), 65_535);
+}
+
 #[test]
 fn several_invalid_fields_yield_one_line() {
     let text = VALID
