Logs: protocol mismatches, errors of accepting, a start without contact, versions, names

Cause: found by reading: a node of another protocol version, errors of accepting and a coordinator that never had contact left no line; a gate logged its first configuration only; the client proxy's server ids were mapped to no name, a rejected health check named no server, and a watch that discovery ended as usual was logged as failed.

What may persist is limited by transport::log_limit (at once, then each 10 s with the number suppressed), the client listener's line as well. Frames of the overlay that cannot be decoded are logged likewise. ServerId has one form.

Not tested: the fields of the rejected health check, the line of a watch that ended.

--- a/crates/agent/src/gate_link.rs
+++ b/crates/agent/src/gate_link.rs
@@ -3,11 +3,13 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eyre::{Result, WrapErr as _};
 use ironmast_schema::control::{FromGate, ToGate};
 use ironmast_transport::link;
+use ironmast_transport::log_limit::LogLimit;
+use slog::{Logger, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
@@ -21,21 +23,27 @@
 ///
 /// # Errors
 /// The address cannot be bound.
-pub(crate) async fn start(state: &SharedState, address: SocketAddr) -> Result<()> {
+pub(crate) async fn start(state: &SharedState, address: SocketAddr, log: &Logger) -> Result<()> {
     let listener = TcpListener::bind(address)
         .await
         .wrap_err_with(|| format!("listening at {address}"))?;
-    actix_rt::spawn(accept(Rc::clone(state), listener));
+    actix_rt::spawn(accept(Rc::clone(state), listener, log.clone()));
     Ok(())
 }
 
-async fn accept(state: SharedState, listener: TcpListener) {
+async fn accept(state: SharedState, listener: TcpListener, log: Logger) {
+    let mut errors = LogLimit::default();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 actix_rt::spawn(serve(Rc::clone(&state), stream));
             }
-            Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
+            Err(error) => {
+                if let Some(suppressed) = errors.admit(Instant::now()) {
+                    warn!(log, "cannot accept a connection"; "error" => %error, "suppressed" => suppressed);
+                }
+                tokio::time::sleep(ACCEPT_BACKOFF).await;
+            }
         }
     }
 }
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -67,7 +67,7 @@
         let state = Rc::new(RefCell::new(AgentState::new(settings)));
         let feed_port = settings.internal_port(InternalPort::Feed);
         let feed = SocketAddr::from((Ipv4Addr::LOCALHOST, feed_port));
-        gate_link::start(&state, feed).await?;
+        gate_link::start(&state, feed, log).await?;
         state
             .borrow_mut()
             .add_coordinators(&settings.seed_coordinators());
--- a/crates/balancer/src/api/ids.rs
+++ b/crates/balancer/src/api/ids.rs
@@ -1,5 +1,7 @@
 //! Numbers and identities in the interface.
 
+use std::fmt;
+
 /// A duration or a clock reading, in microseconds.
 pub type Micros = u64;
 /// A request's number; never reused by one balancer.
@@ -23,3 +25,10 @@
         ServerId(name.bytes().fold(0xcbf2_9ce4_8422_2325, step))
     }
 }
+
+/// As in log lines: 16 hexadecimal digits.
+impl fmt::Display for ServerId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
--- a/crates/balancer/src/balance/health.rs
+++ b/crates/balancer/src/balance/health.rs
@@ -66,8 +66,8 @@
                 node.slowness += SLOWNESS_SMOOTHING * (sample - node.slowness);
             }
             if update_health(node, ended.outcome, sent, &peers, now) {
-                let id = node.server.id.0;
-                let text = format!("server {id:016x} set aside: it fails");
+                let id = node.server.id;
+                let text = format!("server {id} set aside: it fails");
                 actions.push(Action::Log(text));
             }
             let (class, evidence) = class.zip(evidence).filter(|_| indicates_load)?;
--- a/crates/balancer/src/class_ejection.rs
+++ b/crates/balancer/src/class_ejection.rs
@@ -61,7 +61,7 @@
     });
     is_ejected
         .filter(|is_ejected| *is_ejected)
-        .map(|_| format!("server {:016x} keeps silent on class {class}", server.0))
+        .map(|_| format!("server {server} keeps silent on class {class}"))
 }
 
 /// Whether the attempt was sent to this incarnation of the server and after its latest ejection for
--- a/crates/client-proxy/src/discovery.rs
+++ b/crates/client-proxy/src/discovery.rs
@@ -142,7 +142,7 @@
                         // Reopened at once: a watch may end instead of reporting that a server
                         // drains. All proxies call then, discovery responds to one after another,
                         // and the last must be notified in time, too.
-                        Ok(WatchEnded) => info!(self.log, "discovery failed"; "error" => "the watch ended and is reopened"),
+                        Ok(WatchEnded) => info!(self.log, "discovery ended the watch, reopening it"),
                         Err(error) => {
                             watching = self.is_pushed;
                             self.report_failure(&error);
--- a/crates/client-proxy/src/driver.rs
+++ b/crates/client-proxy/src/driver.rs
@@ -129,7 +129,7 @@
                 latency,
                 load,
             } => {
-                debug!(self.log, "health check ended"; "at" => self.clock.now(), "server" => format_args!("{:016x}", server.0),
+                debug!(self.log, "health check ended"; "at" => self.clock.now(), "server" => %server,
                     "outcome" => ?outcome, "took" => latency);
                 self.dispatch(Event::ProbeEnded {
                     server,
@@ -203,7 +203,7 @@
                 .outputs
                 .command_upstream(UpstreamCommand::CheckHealth(server, address)),
             None => {
-                warn!(self.log, "health check of a server that is not listed"; "server" => server.0);
+                warn!(self.log, "health check of a server that is not listed"; "server" => %server);
             }
         }
     }
--- a/crates/client-proxy/src/driver/attempts.rs
+++ b/crates/client-proxy/src/driver/attempts.rs
@@ -54,13 +54,13 @@
         let address = match address {
             Ok(address) => address,
             Err(reason) => {
-                debug!(self.log, "attempt suppressed"; "request" => id, "server" => server.0, "reason" => %reason);
+                debug!(self.log, "attempt suppressed"; "request" => id, "server" => %server, "reason" => %reason);
                 let ended = not_sent(id, server, number, request.is_answered());
                 return self.pending.push_back(Event::AttemptEnded(ended));
             }
         };
         debug!(self.log, "attempt sent"; "at" => now, "request" => id, "attempt" => number,
-            "server" => format_args!("{:016x}", server.0));
+            "server" => %server);
         let attempt = Attempt {
             id,
             number,
@@ -99,7 +99,7 @@
         let finished = self.open.get(id).is_none_or(OpenRequest::is_answered);
         let latency = self.clock.now().saturating_sub(sent_at);
         debug!(self.log, "attempt ended"; "at" => self.clock.now(), "request" => id, "attempt" => number,
-            "server" => format_args!("{:016x}", server.0), "outcome" => ?outcome, "took" => latency);
+            "server" => %server, "outcome" => ?outcome, "took" => latency);
         self.dispatch(Event::AttemptEnded(AttemptEnded {
             id,
             server,
--- a/crates/client-proxy/src/driver/endpoints.rs
+++ b/crates/client-proxy/src/driver/endpoints.rs
@@ -9,6 +9,9 @@
 use super::Driver;
 use crate::message::UpstreamCommand;
 
+/// The names of servers that are logged in one line.
+const MAX_NAMES_PER_LINE: usize = 32;
+
 impl Driver {
     /// Passes an update of the endpoints, to which the overrides have been applied, to the
     /// connections and to the decision module.
@@ -20,6 +23,7 @@
             Scope::Complete | Scope::Cached => self.servers.keys().copied().collect(),
             _ => BTreeSet::new(),
         };
+        self.log_new_servers(&endpoints);
         for endpoint in &endpoints {
             removed.remove(&endpoint.server.id);
             self.update_endpoint(endpoint);
@@ -35,13 +39,28 @@
             .collect();
         let entries = servers.len();
         for server in &servers {
-            debug!(self.log, "server listed"; "at" => self.clock.now(), "server" => format_args!("{:016x}", server.id.0),
+            debug!(self.log, "server listed"; "at" => self.clock.now(), "server" => %server.id,
                 "phase" => ?server.phase, "zone" => server.zone, "size" => server.size, "started" => ?server.started);
         }
         self.dispatch(Event::Members(Listing { scope, servers }));
         info!(self.log, "endpoint update: {:?}", scope; "entries" => entries, "known" => self.servers.len());
     }
 
+    /// Logs the names of servers that were not listed before: other lines name servers by their id.
+    fn log_new_servers(&self, endpoints: &[Endpoint]) {
+        let is_new = |endpoint: &&Endpoint| !self.servers.contains_key(&endpoint.server.id);
+        let names: Vec<String> = endpoints
+            .iter()
+            .filter(is_new)
+            .map(|Endpoint { server, target }| {
+                format!("{}={}@{}", server.id, target.uid, target.endpoint)
+            })
+            .collect();
+        for names in names.chunks(MAX_NAMES_PER_LINE) {
+            info!(self.log, "new servers"; "servers" => names.join(" "));
+        }
+    }
+
     fn update_endpoint(&mut self, endpoint: &Endpoint) {
         let Endpoint { server, target } = endpoint;
         // A server that has ended is dropped, because it gets no request again.
--- a/crates/client-proxy/src/upstream/health_check.rs
+++ b/crates/client-proxy/src/upstream/health_check.rs
@@ -49,7 +49,8 @@
                 load,
             })) => (Outcome::Ok, load),
             Ok(Some(Response { status, .. })) => {
-                warn!(self.log, "health check rejected"; "status" => status.as_u16());
+                warn!(self.log, "health check rejected";
+                    "server" => %self.server, "address" => %self.address, "status" => status.as_u16());
                 (Outcome::Overloaded, None)
             }
             Ok(None) => (Outcome::ConnectFailed, None),
--- a/crates/coordinator/src/event_loop.rs
+++ b/crates/coordinator/src/event_loop.rs
@@ -74,7 +74,7 @@
             log,
         );
         let node = Rc::new(RefCell::new(node));
-        links::start(&node, &settings.seed_coordinators()).await?;
+        links::start(&node, &settings.seed_coordinators(), log).await?;
         Ok(EventLoop {
             started,
             node,
--- a/crates/coordinator/src/links.rs
+++ b/crates/coordinator/src/links.rs
@@ -4,17 +4,21 @@
 //! This module owns the sockets, the reconnect delay and the timeouts. The frames are handled by
 //! [`CoordinatorNode`].
 //!
-//! A link that fails is not logged: links fail whenever another node restarts. What operators need to
+//! A link that fails is not logged, as links fail whenever another node restarts, unless the other node
+//! speaks another version of the protocol. What operators need to
 //! know is the loss of contact with the majority of the replica set, which [`CoordinatorNode`] logs.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eyre::{Result, WrapErr as _, bail};
 use ironmast_schema::control::{FromCoordinator, Hello, PROTOCOL_VERSION, ToCoordinator};
 use ironmast_transport::link;
+use ironmast_transport::log_limit::LogLimit;
+use slog::{Logger, warn};
+use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
@@ -35,12 +39,12 @@
 ///
 /// # Errors
 /// The own address cannot be bound.
-pub(crate) async fn start(node: &SharedNode, seeds: &[SocketAddr]) -> Result<()> {
+pub(crate) async fn start(node: &SharedNode, seeds: &[SocketAddr], log: &Logger) -> Result<()> {
     let own = node.borrow().own_address();
     let listener = TcpListener::bind(own)
         .await
         .wrap_err_with(|| format!("listening at {own}"))?;
-    actix_rt::spawn(accept(Rc::clone(node), listener));
+    actix_rt::spawn(accept(Rc::clone(node), listener, log.clone()));
     connect(node, seeds);
     Ok(())
 }
@@ -55,16 +59,63 @@
     }
 }
 
+/// Why a subscriber's link has ended.
+#[derive(Debug, Error)]
+enum SubscriberError {
+    /// The link failed.
+    #[error(transparent)]
+    Link(#[from] link::Error),
+    /// The subscriber has not said which kind of node it is.
+    #[error("the first frame is no hello")]
+    NoHello,
+    /// The subscriber speaks another version of the protocol.
+    #[error("version {0} of the protocol, this coordinator speaks version {PROTOCOL_VERSION}")]
+    UnsupportedProtocol(u16),
+}
+
+impl SubscriberError {
+    /// Whether the subscriber runs another version of the program, so that no later link will do
+    /// better.
+    fn is_mismatch(&self) -> bool {
+        match self {
+            SubscriberError::UnsupportedProtocol(_)
+            | SubscriberError::Link(link::Error::Decode { .. }) => true,
+            SubscriberError::NoHello | SubscriberError::Link(_) => false,
+        }
+    }
+}
+
 /// Accepts subscribers.
-async fn accept(node: SharedNode, listener: TcpListener) {
+async fn accept(node: SharedNode, listener: TcpListener, log: Logger) {
+    let mut accept_errors = LogLimit::default();
+    let mismatches = Rc::new(RefCell::new(LogLimit::default()));
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let node = Rc::clone(&node);
-                // Links fail whenever another node restarts; the node has unsubscribed it by then.
-                actix_rt::spawn(async move { drop(serve_subscriber(node, stream).await) });
+            Ok((stream, peer)) => {
+                let (node, log) = (Rc::clone(&node), log.clone());
+                let mismatches = Rc::clone(&mismatches);
+                actix_rt::spawn(async move {
+                    let Err(error) = serve_subscriber(node, stream).await else {
+                        return;
+                    };
+                    // Other links fail whenever another node restarts; the node has unsubscribed
+                    // the subscriber by then.
+                    if error.is_mismatch()
+                        && let Some(suppressed) = mismatches.borrow_mut().admit(Instant::now())
+                    {
+                        warn!(
+                            log, "a node speaks another version of the protocol";
+                            "peer" => %peer, "error" => %error, "suppressed" => suppressed
+                        );
+                    }
+                });
+            }
+            Err(error) => {
+                if let Some(suppressed) = accept_errors.admit(Instant::now()) {
+                    warn!(log, "cannot accept a connection"; "error" => %error, "suppressed" => suppressed);
+                }
+                tokio::time::sleep(RECONNECT_DELAY).await;
             }
-            Err(_) => tokio::time::sleep(RECONNECT_DELAY).await,
         }
     }
 }
@@ -112,14 +163,15 @@
 }
 
 /// Serves a subscriber until its link fails.
-async fn serve_subscriber(node: SharedNode, stream: TcpStream) -> Result<()> {
-    let (mut receiver, mut sender) = link::split::<ToCoordinator, FromCoordinator>(stream)?;
+async fn serve_subscriber(node: SharedNode, stream: TcpStream) -> Result<(), SubscriberError> {
+    let (mut receiver, mut sender) =
+        link::split::<ToCoordinator, FromCoordinator>(stream).map_err(link::Error::from)?;
     // The subscriber's first frame says which kind of node it is.
     let Some(ToCoordinator::Hello(hello)) = receiver.next().await? else {
-        bail!("the first frame is no hello")
+        return Err(SubscriberError::NoHello);
     };
     if hello.protocol != PROTOCOL_VERSION {
-        bail!("unsupported protocol version {}", hello.protocol);
+        return Err(SubscriberError::UnsupportedProtocol(hello.protocol));
     }
     let kind = match hello.coordinator {
         Some(_) => SubscriberKind::Coordinator,
--- a/crates/coordinator/src/node.rs
+++ b/crates/coordinator/src/node.rs
@@ -32,11 +32,18 @@
 mod commands;
 mod links;
 
+/// A coordinator that has had no contact for this long after its start says so: a majority usually
+/// answers within a second.
+const STARTING_WARNING_DELAY: Duration = Duration::from_secs(5);
+
 /// A coordinator without its sockets, timers and threads.
 pub(crate) struct CoordinatorNode {
     log: Logger,
     clock: Clock,
     contact: ContactState,
+    /// When to warn that there has been no contact since the start; `None` once that was done, or
+    /// there has been contact.
+    starting_warning_at: Option<Duration>,
     replica: RegisterReplica,
     pending_reports: PendingReports,
     endpoints: PublishedEndpoints,
@@ -59,6 +66,7 @@
         CoordinatorNode {
             log: log.clone(),
             contact: ContactState::Starting,
+            starting_warning_at: Some(clock.now() + STARTING_WARNING_DELAY),
             pending_reports: PendingReports::default(),
             endpoints: PublishedEndpoints::new(settings, clock.clone(), publisher),
             directory,
@@ -91,6 +99,7 @@
     /// Runs the periodic work: expires endpoints and sends the keep-alive frames.
     pub(crate) fn tick(&mut self) {
         self.check_contact();
+        self.warn_if_never_in_contact();
         // An endpoint that does not report here may report to other coordinators, of which nothing
         // is known out of contact.
         if self.contact == ContactState::InContact {
@@ -163,6 +172,23 @@
         }
     }
 
+    fn warn_if_never_in_contact(&mut self) {
+        if self.contact != ContactState::Starting {
+            self.starting_warning_at = None;
+        } else if self
+            .starting_warning_at
+            .is_some_and(|at| self.clock.now() >= at)
+        {
+            self.starting_warning_at = None;
+            warn!(
+                self.log,
+                "no contact with a majority of the coordinators since the start";
+                "other coordinators" => self.peers.addresses().len(),
+                "links" => self.peers.open_links()
+            );
+        }
+    }
+
     fn on_contact_gained(&mut self) {
         info!(self.log, "in contact with a majority of the coordinators");
         self.endpoints.restart_timeouts();
--- a/crates/gate/src/feed.rs
+++ b/crates/gate/src/feed.rs
@@ -35,6 +35,7 @@
         frontend,
         set_limits,
         store: EntryStore::default(),
+        applied_generation: None,
     };
     loop {
         // An agent that is away is expected while it is replaced: the error is not reported.
@@ -49,6 +50,8 @@
     frontend: SocketAddr,
     set_limits: F,
     store: EntryStore,
+    /// Generation of the configuration whose table is installed.
+    applied_generation: Option<u64>,
 }
 
 impl<F: Fn(ClientLimits)> Feed<F> {
@@ -133,9 +136,18 @@
         gate.install_table(table, gates);
         // Requests may wait for the configuration, so it counts as known only now that its table
         // is installed.
-        let configured = self.store.configuration().is_some();
+        let generation = self
+            .store
+            .configuration()
+            .map(|configuration| configuration.generation);
+        if let Some(version) = generation
+            && self.applied_generation != generation
+        {
+            info!(gate.log, "configuration applied"; "version" => version, "routes" => routes);
+        }
+        self.applied_generation = generation;
+        let configured = generation.is_some();
         if !gate.set_configured(configured) && configured {
-            info!(gate.log, "configuration applied"; "routes" => routes);
             gate.begin_server_discovery();
             gate.status_changed.notify_one();
         }
--- a/crates/ironmast/tests/system/mod.rs
+++ b/crates/ironmast/tests/system/mod.rs
@@ -139,6 +139,16 @@
         SocketAddr::new(self.ip(number), self.port + 9)
     }
 
+    /// Where the coordinator of a machine takes links of other nodes.
+    pub(crate) fn internal(&self, number: u8) -> SocketAddr {
+        SocketAddr::new(self.ip(number), self.port)
+    }
+
+    /// Where the agent of a machine takes the link of its gate.
+    pub(crate) fn feed(&self) -> SocketAddr {
+        SocketAddr::from((Ipv4Addr::LOCALHOST, self.port + FEED_OFFSET))
+    }
+
     fn disk(&self, number: u8) -> PathBuf {
         self.directory.path().join(format!("disk-{number}"))
     }
@@ -168,6 +178,15 @@
         self.launch(program, role, number, bootstrap)
     }
 
+    /// Starts the agent of a machine with a limit on its descriptors.
+    pub(crate) fn start_agent_with_descriptors(&self, number: u8, descriptors: u32) -> Role {
+        let ironmast = env!("CARGO_BIN_EXE_ironmast");
+        let command = format!("ulimit -n {descriptors}; exec '{ironmast}' agent");
+        let mut shell = Command::new("sh");
+        shell.args(["-c", &command]);
+        self.launch(shell, "agent", number, Bootstrap::Forbidden)
+    }
+
     /// Starts another program than that under test as the coordinator of a machine, which may found
     /// the replica set.
     pub(crate) fn bootstrap_other_coordinator(&self, program: Command, number: u8) -> Role {
--- a/crates/overlay-transport/src/connection.rs
+++ b/crates/overlay-transport/src/connection.rs
@@ -3,8 +3,9 @@
 //! The opener sends the address it listens at first, as its source port does not identify it.
 //!
 //! Events are sent to the driver for as long as it runs; once it has ended, errors of sending them
-//! are ignored, as the process is shutting down. Errors of a connection are not logged: its end is
-//! reported to the driver, and the overlay connects again.
+//! are ignored, as the process is shutting down. Errors of a connection are not logged, as its end is
+//! reported to the driver and the overlay connects again; but for frames that cannot be decoded, which
+//! mean that the peer runs another version of the program.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -58,6 +59,13 @@
         /// The message.
         message: Message,
     },
+    /// A frame could not be decoded; the connection closes.
+    Undecodable {
+        /// Listening address of the peer.
+        peer: SocketAddr,
+        /// What is wrong with the frame.
+        error: eyre::Report,
+    },
     /// The connection has closed.
     Closed {
         /// Listening address of the peer.
@@ -148,10 +156,17 @@
         dropped.await;
         tokio::time::sleep(FLUSH_TIMEOUT).await;
     };
-    tokio::select! {
-        _ = sending => {}
-        _ = receiving => {}
-        () = flush_expired => {}
+    let result = tokio::select! {
+        result = sending => result,
+        result = receiving => result,
+        () = flush_expired => Ok(()),
+    };
+    if let Err(error) = result
+        && matches!(error.downcast_ref(), Some(link::Error::Decode { .. }))
+    {
+        let _ = events
+            .send(ConnectionEvent::Undecodable { peer, error })
+            .await;
     }
     let _ = events.send(ConnectionEvent::Closed { peer, id }).await;
 }
--- a/crates/overlay-transport/src/driver.rs
+++ b/crates/overlay-transport/src/driver.rs
@@ -4,12 +4,15 @@
 #[cfg(test)]
 mod tests;
 
+use std::fmt;
+use std::io;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use ironmast_overlay::{Action, Descriptor, Event, Message, Overlay, Settings};
 use ironmast_schema::control::Entry;
-use slog::{Logger, debug};
+use ironmast_transport::log_limit::LogLimit;
+use slog::{Logger, debug, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
@@ -37,6 +40,8 @@
     events: EventSender,
     updates: mpsc::UnboundedSender<Entry>,
     log: Logger,
+    accept_errors: LogLimit,
+    decoding_errors: LogLimit,
 }
 
 /// Runs the node until the owner drops its handle.
@@ -59,7 +64,10 @@
             Some(event) = events.recv() => driver.on_connection_event(event),
             accepted = listener.accept() => match accepted {
                 Ok((stream, _)) => driver.accept(stream),
-                Err(_) => tokio::time::sleep(ACCEPT_BACKOFF).await,
+                Err(error) => {
+                    driver.log_accept_error(&error);
+                    tokio::time::sleep(ACCEPT_BACKOFF).await;
+                }
             },
             () = tokio::time::sleep_until(driver.wake_at().into()) => {
                 driver.timer = None;
@@ -87,6 +95,25 @@
             events,
             updates,
             log,
+            accept_errors: LogLimit::default(),
+            decoding_errors: LogLimit::default(),
+        }
+    }
+
+    fn log_accept_error(&mut self, error: &io::Error) {
+        if let Some(suppressed) = self.accept_errors.admit(Instant::now()) {
+            warn!(self.log, "cannot accept a connection"; "error" => %error, "suppressed" => suppressed);
+        }
+    }
+
+    /// Logs that a peer has sent what this version of the program cannot read.
+    fn log_decoding_error(&mut self, peer: Option<SocketAddr>, error: &dyn fmt::Display) {
+        if let Some(suppressed) = self.decoding_errors.admit(Instant::now()) {
+            let peer = peer.map(|peer| peer.to_string());
+            warn!(
+                self.log, "cannot decode a message of the overlay";
+                "peer" => peer, "error" => %error, "suppressed" => suppressed
+            );
         }
     }
 
@@ -130,6 +157,9 @@
                     self.handle(Event::Disconnected(peer));
                 }
             }
+            ConnectionEvent::Undecodable { peer, error } => {
+                self.log_decoding_error(Some(peer), &format_args!("{error:#}"));
+            }
             ConnectionEvent::ConnectFailed { peer } => self.handle(Event::Disconnected(peer)),
         }
     }
@@ -169,10 +199,10 @@
     }
 
     /// Passes an entry that has changed to the owner.
-    fn report_update(&self, payload: &[u8]) {
+    fn report_update(&mut self, payload: &[u8]) {
         match postcard::from_bytes(payload) {
             Ok(entry) => drop(self.updates.send(entry)),
-            Err(error) => debug!(self.log, "cannot decode an entry"; "error" => %error),
+            Err(error) => self.log_decoding_error(None, &error),
         }
     }
 
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -9,6 +9,7 @@
 //!   the state of one attempt at a request.
 //! - Sockets: [`descriptors`] limits how many are open, [`observed_stream`] reports their traffic,
 //!   [`sockets`] opens them, and [`clock`] reads the time.
+//! - Logs: [`log_limit`] keeps a persisting cause from filling them.
 //! - Between processes: [`link`] carries messages over one connection; [`frames`] does so over many
 //!   connections, with handshakes, bounded queues and an in-memory network for tests.
 #![forbid(unsafe_code)]
@@ -23,6 +24,7 @@
 mod framing;
 pub mod link;
 pub mod listener;
+pub mod log_limit;
 pub mod malformed_response;
 pub mod observed_stream;
 mod read_ahead;
--- a/crates/transport/src/listener.rs
+++ b/crates/transport/src/listener.rs
@@ -11,7 +11,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use actix_http::body::{BodySize, BoxBody, MessageBody};
 use actix_http::{
@@ -27,6 +27,7 @@
 use crate::clock::Clock;
 use crate::connection::{ClientConnection, ClientLimits, RequestInProgress};
 use crate::descriptors::{DescriptorBudget, DescriptorPermit};
+use crate::log_limit::LogLimit;
 use crate::observed_stream::{ObservedStream, UnreadBytes, UnreadWatch};
 
 /// Delay after an accept that failed, and between attempts to acquire a descriptor permit.
@@ -139,6 +140,7 @@
     pub async fn accept(self: Rc<Self>, listener: Rc<TcpListener>) {
         self.close_idle_on_pressure();
         let mut serving = self.serving.clone();
+        let mut accept_errors = LogLimit::default();
         loop {
             // While this process does not serve, the one that replaces it, or is replaced by it,
             // accepts instead.
@@ -173,7 +175,9 @@
                     tokio::task::yield_now().await;
                 }
                 Err(error) => {
-                    warn!(self.log, "cannot accept a connection"; "error" => %error);
+                    if let Some(suppressed) = accept_errors.admit(Instant::now()) {
+                        warn!(self.log, "cannot accept a connection"; "error" => %error, "suppressed" => suppressed);
+                    }
                     // Guards against spinning where descriptors have run out.
                     tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
                 }
