Emulator: a restarted proxy is notified of changes, whatever is on its way to its predecessor

Cause: a notification for the earlier incarnation counted as pending for the restarted one, so that a change published meanwhile reached it only with the next change. And no scenario of the test that judges the built-in policies overloads a server that warms up.

Change: the pending notification belongs to the incarnation; the test plays a fleet whose equal shares are more than a server that has just started bears.

Dismissed: a proxy that only polls does not count as watching by mistake, since Action::Subscribe is the only query in the interface.

--- a/crates/emulator/src/simulation/list_updates.rs
+++ b/crates/emulator/src/simulation/list_updates.rs
@@ -57,9 +57,12 @@
 
     /// A notification reaches a proxy, with the changes since the version that it knows.
     pub(super) fn watch_notification(&mut self, run: ProxyIncarnation) {
+        if !self.is_current(run) {
+            return;
+        }
         let proxy = &mut self.proxies[run.proxy as usize];
         proxy.notification_pending = false;
-        if proxy.subscribed && self.is_current(run) {
+        if proxy.subscribed {
             self.send_listing(run.proxy, Scope::Changes);
         }
     }
--- a/crates/emulator/src/simulation/proxies.rs
+++ b/crates/emulator/src/simulation/proxies.rs
@@ -73,6 +73,8 @@
         (proxy.last_contact, proxy.has_clients) = (self.now, true);
         proxy.closing_since.clear();
         proxy.subscribed = !watches;
+        // One that is on its way is for the earlier incarnation.
+        proxy.notification_pending = false;
         let seed = hash_parts([
             self.seed,
             Purpose::Policy as u64,
--- a/crates/emulator/tests/fleet/judge.rs
+++ b/crates/emulator/tests/fleet/judge.rs
@@ -269,6 +269,7 @@
         fleet(SLOW),
         fleet(DEPLOY),
         fleet(&format!("{faults}{DEPLOY}\n{SLOW}")),
+        warming_fleet(5),
     ];
     let runs: Vec<(usize, PolicyName, u64)> = (0..scenarios.len())
         .flat_map(|s| {
--- a/crates/emulator/tests/fleet/main.rs
+++ b/crates/emulator/tests/fleet/main.rs
@@ -1,6 +1,7 @@
 //! Tests of whole runs of a small fleet.
 
 mod judge;
+mod notifications;
 mod reproducibility;
 mod scenario_validation;
 mod support;
