Routing: a request waits for the earliest permit of all services of its route

Cause: the permit delay of a later service of a traffic split replaced a shorter one of an earlier. Change: the shorter one counts. Test: rejections::a_request_waits_for_the_earliest_..., fails without it.

--- a/crates/routing/src/decider/search.rs
+++ b/crates/routing/src/decider/search.rs
@@ -33,12 +33,16 @@
             return best;
         }
         for service in self.services(now, call, limits) {
-            match self.search_service(now, call, service, limits) {
-                Selection::Server(selected) => return Selection::Server(selected),
-                Selection::PermitIn(delay) => best = Selection::PermitIn(delay),
-                Selection::Unavailable(_) if matches!(best, Selection::PermitIn(_)) => {}
-                Selection::Unavailable(reason) => best = Selection::Unavailable(reason),
-            }
+            best = match (best, self.search_service(now, call, service, limits)) {
+                (_, Selection::Server(selected)) => return Selection::Server(selected),
+                (Selection::PermitIn(earlier), Selection::PermitIn(delay)) => {
+                    Selection::PermitIn(earlier.min(delay))
+                }
+                (Selection::PermitIn(earlier), Selection::Unavailable(_)) => {
+                    Selection::PermitIn(earlier)
+                }
+                (_, selection) => selection,
+            };
         }
         best
     }
--- a/crates/routing/src/decider/tests/rejections.rs
+++ b/crates/routing/src/decider/tests/rejections.rs
@@ -378,3 +378,55 @@
         "{small} against {large}"
     );
 }
+
+/// Permits that each become available after a time of their service's own.
+struct PermitsIn {
+    delays: [(&'static str, Micros); 2],
+}
+
+impl Permits for PermitsIn {
+    fn try_acquire(&mut self, _: Micros, server: &ServerSpec) -> Result<(), RetryAfter> {
+        let delay = self
+            .delays
+            .iter()
+            .find(|(name, _)| *name == &*server.service);
+        Err(RetryAfter(delay.expect("a known service").1))
+    }
+}
+
+impl RetryBudget for PermitsIn {
+    fn deposit(&mut self, _: Micros, _: &ServiceSpec) {}
+
+    fn withdraw(&mut self, _: Micros, _: &ServiceSpec) -> bool {
+        true
+    }
+}
+
+#[test]
+fn a_request_waits_for_the_earliest_permit_of_all_its_services() {
+    let mut split = route("a", RouteKind::Idempotent);
+    split.backends.push(WeightedBackend {
+        service: "other".into(),
+        weight: 1,
+    });
+    let warming = |number, service: &str| ServerSpec {
+        warming_up: true,
+        service: service.into(),
+        ..server(number, "north")
+    };
+    let listed = vec![warming(1, "desk"), warming(2, "other")];
+    for delays in [[30 * MS, 70 * MS], [70 * MS, 30 * MS]] {
+        let mut gate = Gate::new(spec(vec![split.clone()], listed.clone()));
+        let mut limits = PermitsIn {
+            delays: [("desk", delays[0]), ("other", delays[1])],
+        };
+        for _ in 0..2 {
+            let request = gate.request("a");
+            let (_, decision) = gate.decider.begin(gate.now, request, &mut limits);
+            let earliest = Decision::Delay {
+                until: gate.now + 30 * MS,
+            };
+            assert_eq!(decision, earliest, "permits in {delays:?}");
+        }
+    }
+}
