Gate: a success counts only with one signature that is not empty

Cause: classify took the presence of the signature header for a signature, so that an empty or a repeated one (of two servers) passed for a success. What a signature says stays the servers' matter. Test: classify::success_must_be_signed_..., fails without it.

--- a/crates/gate/src/attempt/classify.rs
+++ b/crates/gate/src/attempt/classify.rs
@@ -54,8 +54,7 @@
 }
 
 fn classify_success(headers: &HeaderMap) -> ResponseClass {
-    let is_valid = headers.contains_key(headers::SERVER_SIGNATURE)
-        && !headers.contains_key(header::CONTENT_ENCODING);
+    let is_valid = is_signed(headers) && !headers.contains_key(header::CONTENT_ENCODING);
     if is_valid {
         ResponseClass::Success
     } else {
@@ -63,6 +62,17 @@
     }
 }
 
+/// Whether one server, and only one, has signed the response. What a signature says is the servers'
+/// own matter; the gate can tell whether there is one.
+fn is_signed(headers: &HeaderMap) -> bool {
+    let mut signatures = headers.get_all(headers::SERVER_SIGNATURE);
+    let Some(signature) = signatures.next() else {
+        return false;
+    };
+    let is_empty = signature.as_bytes().trim_ascii().is_empty();
+    !is_empty && signatures.next().is_none()
+}
+
 /// Client errors other than 429 are the client's own fault: no other server would do better.
 fn classify_not_executed(status: StatusCode, headers: &HeaderMap) -> ResponseClass {
     if status.is_client_error() && status != StatusCode::TOO_MANY_REQUESTS {
--- a/crates/gate/src/attempt/classify/tests.rs
+++ b/crates/gate/src/attempt/classify/tests.rs
@@ -16,6 +16,18 @@
         class_of(200, &[]),
         ResponseClass::Discarded(Outcome::MalformedResponse)
     );
+    for signatures in [
+        &[("x-ironmast-server-signature", "")][..],
+        &[("x-ironmast-server-signature", " ")][..],
+        &[SIGNATURE, SIGNATURE][..],
+        &[SIGNATURE, ("x-ironmast-server-signature", "4f")][..],
+    ] {
+        assert_eq!(
+            class_of(200, signatures),
+            ResponseClass::Discarded(Outcome::MalformedResponse),
+            "{signatures:?}"
+        );
+    }
     assert_eq!(
         class_of(200, &[SIGNATURE, ("content-encoding", "gzip")]),
         ResponseClass::Discarded(Outcome::MalformedResponse)
