Overlay transport: an entry or key that cannot be encoded is logged and not sent

Cause: its overlay key was the hash of an empty string, and the entry was dropped silently. No such entry is known: entry_frames_round_trip in schema encodes arbitrary ones. Not shown by a test, as nothing makes the encoder fail.

--- a/crates/overlay-transport/src/lib.rs
+++ b/crates/overlay-transport/src/lib.rs
@@ -20,7 +20,7 @@
 use ironmast_overlay::{Descriptor, Key as OverlayKey, Locality, Role, Version};
 use ironmast_schema::control::{Entry, Key};
 use ironmast_schema::settings::{InternalPort, Settings};
-use slog::Logger;
+use slog::{Logger, error};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use xxhash_rust::xxh3::xxh3_64;
@@ -64,6 +64,7 @@
 #[derive(Debug, Clone)]
 pub struct OverlayHandle {
     commands: mpsc::UnboundedSender<Command>,
+    log: Logger,
 }
 
 impl OverlayHandle {
@@ -97,7 +98,10 @@
             updates,
             log.clone(),
         ));
-        let handle = OverlayHandle { commands };
+        let handle = OverlayHandle {
+            commands,
+            log: log.clone(),
+        };
         handle.set_seeds(settings);
         Ok((handle, entries))
     }
@@ -115,20 +119,27 @@
 
     /// Publishes an entry.
     pub fn publish(&self, entry: &Entry) {
-        if let Ok(payload) = postcard::to_stdvec(entry) {
-            self.send(Command::Publish {
-                key: overlay_key(&entry.key),
+        match encode(entry) {
+            Ok((key, payload)) => self.send(Command::Publish {
+                key,
                 version: entry.version,
-                payload: Arc::from(payload),
-            });
+                payload,
+            }),
+            Err(error) => {
+                error!(self.log, "cannot encode an entry, it is not published"; "error" => %error);
+            }
         }
     }
 
     /// Publishes a tombstone of a key, after which the overlay stores of all nodes drop the key;
     /// their owners are not notified. `version` must be higher than the published ones.
     pub fn remove(&self, key: &Key, version: u64) {
-        let key = overlay_key(key);
-        self.send(Command::Remove { key, version });
+        match overlay_key(key) {
+            Ok(key) => self.send(Command::Remove { key, version }),
+            Err(error) => {
+                error!(self.log, "cannot encode a key, it is not removed"; "error" => %error);
+            }
+        }
     }
 
     /// Sets whether this coordinator is in contact with a majority of the coordinators. A
@@ -152,8 +163,14 @@
 }
 
 /// The overlay's key of an entry's key.
-fn overlay_key(key: &Key) -> OverlayKey {
-    xxh3_64(&postcard::to_stdvec(key).unwrap_or_default())
+fn overlay_key(key: &Key) -> Result<OverlayKey, postcard::Error> {
+    Ok(xxh3_64(&postcard::to_stdvec(key)?))
+}
+
+/// An entry as the overlay carries it, and its key there.
+fn encode(entry: &Entry) -> Result<(OverlayKey, Arc<[u8]>), postcard::Error> {
+    let payload = postcard::to_stdvec(entry)?;
+    Ok((overlay_key(&entry.key)?, Arc::from(payload)))
 }
 
 /// Incarnation of a process that starts now: the time of day in milliseconds.
