Keyed ownership: a misrouted request leaves no empty pool

Cause: the pool was made before the request was found to be misrouted, and stayed until the next tick. Test: owner::a_misrouted_request_leaves_no_pool, fails without the change.

--- a/crates/keyed-ownership/src/owner.rs
+++ b/crates/keyed-ownership/src/owner.rs
@@ -144,9 +144,10 @@
     ) {
         let pending = self.pending(now, &request);
         let key = request.key;
-        let pool = self.pools.entry(key.clone()).or_default();
-        for completed in &request.completed {
-            pool.complete(&request.gate, completed, &self.timing);
+        if let Some(pool) = self.pools.get_mut(&key) {
+            for completed in &request.completed {
+                pool.complete(&request.gate, completed, &self.timing);
+            }
         }
         let is_misrouted =
             request.token.owner != self.me || self.lease.state(now, &key) == LeaseState::NotOwner;
@@ -154,7 +155,7 @@
             actions.push(self.rejection(&key, &pending, MISROUTED_RETRY_DELAY));
             return;
         }
-        pool.push(pending);
+        self.pools.entry(key.clone()).or_default().push(pending);
         self.renew_until = self.renew_until.max(now + LEASE_RENEWAL_PERIOD);
         self.serve(now, &key, actions);
     }
--- a/crates/keyed-ownership/src/owner/tests.rs
+++ b/crates/keyed-ownership/src/owner/tests.rs
@@ -226,3 +226,14 @@
     handle(&mut owner, ms(11_510), Event::View(view(2, &[2])));
     assert_eq!(counts(&handle(&mut owner, ms(11_520), Event::Tick)), [0]);
 }
+
+#[test]
+fn a_misrouted_request_leaves_no_pool() {
+    let mut owner = active_owner();
+    let misrouted = PermitRequest {
+        token: token(2),
+        ..request(3, 1, 1)
+    };
+    assert_eq!(counts_for(&mut owner, ms(11_000), misrouted), [0]);
+    assert!(owner.pools.is_empty());
+}
