Fault injection: an invalid fault changes no schedule, long bodies are read to their end

Cause: push emptied the schedule before it checked the fault; a stub server read 1 MiB of a body and took the rest for the next request. Tests: fault::an_invalid_fault_leaves_..., stub_servers::http (2); each fails without its change.

--- a/crates/fault-injection/src/fault/schedule.rs
+++ b/crates/fault-injection/src/fault/schedule.rs
@@ -65,9 +65,9 @@
     /// Adds a fault.
     ///
     /// # Errors
-    /// As for [`Schedule::new`].
+    /// As for [`Schedule::new`]; the schedule is as before.
     pub fn push(&mut self, fault: Fault) -> Result<(), FaultError> {
-        let mut faults = std::mem::take(&mut self.faults);
+        let mut faults = self.faults.clone();
         faults.push(fault);
         *self = Schedule::new(faults)?;
         Ok(())
--- a/crates/fault-injection/src/fault/tests.rs
+++ b/crates/fault-injection/src/fault/tests.rs
@@ -147,3 +147,24 @@
     let wrong = toml::from_str::<File>("[[fault]]\nat_s = 1.0\nlink = \"a->b\"\nkind = \"melt\"\n");
     assert!(wrong.is_err_and(|e| e.to_string().contains("melt")));
 }
+
+#[test]
+fn an_invalid_fault_leaves_the_schedule_as_it_was() {
+    let valid = Fault {
+        at_s: 1.0,
+        link: "a->b".to_string(),
+        kind: FaultKind::Cut,
+        for_s: None,
+        delay_ms: 0.0,
+        jitter_ms: 0.0,
+        bytes_per_s: 0.0,
+        share: 0.0,
+    };
+    let mut schedule = Schedule::new(vec![valid.clone()]).expect("valid");
+    let invalid = Fault {
+        link: "a".to_string(),
+        ..valid.clone()
+    };
+    assert!(schedule.push(invalid).is_err());
+    assert_eq!(schedule.faults(), [valid]);
+}
--- a/crates/fault-injection/src/stub_servers/http.rs
+++ b/crates/fault-injection/src/stub_servers/http.rs
@@ -1,11 +1,9 @@
 //! As much of HTTP/1.1 as the stub servers need.
 
-use std::io::BufRead;
+use std::io::{self, BufRead, Read as _};
 
-/// The most bytes of a body that are read.
-const MAX_BODY: usize = 1 << 20;
-
-/// Reads the next request and returns its head; `None` at the end of the connection.
+/// Reads the next request and returns its head; `None` at the end of the connection. The body is
+/// discarded as it is read, however long it is.
 pub(super) fn read_request(connection: &mut impl BufRead) -> Option<String> {
     let mut head = String::new();
     while !head.ends_with("\r\n\r\n") {
@@ -15,10 +13,9 @@
     }
     let length = header(&head, "content-length")
         .and_then(|value| value.parse().ok())
-        .unwrap_or(0usize);
-    let mut body = vec![0; length.min(MAX_BODY)];
-    connection.read_exact(&mut body).ok()?;
-    Some(head)
+        .unwrap_or(0u64);
+    let read = io::copy(&mut connection.take(length), &mut io::sink()).ok()?;
+    (read == length).then_some(head)
 }
 
 /// The value of a header in a head, whatever the case of its name.
@@ -29,3 +26,6 @@
         candidate.eq_ignore_ascii_case(name).then(|| value.trim())
     })
 }
+
+#[cfg(test)]
+mod tests;
