Client proxy: a datagram is of membership only by its own bytes

Cause: the tag was looked for in the whole receive buffer, where a byte may be left of an earlier datagram: one of at most one byte could count as membership's.

--- a/crates/client-proxy/src/peers.rs
+++ b/crates/client-proxy/src/peers.rs
@@ -38,11 +38,17 @@
 /// A datagram that has arrived.
 struct Datagram<'a> {
     data: &'a [u8],
-    /// Whether the buffer begins with the tag of membership.
-    is_tagged: bool,
     from: SocketAddr,
 }
 
+impl Datagram<'_> {
+    /// Whether it is one of membership. What is left in the buffer of an earlier datagram says
+    /// nothing of it.
+    fn is_of_membership(&self) -> bool {
+        self.data.starts_with(&PROTOCOL_TAG)
+    }
+}
+
 impl Peers {
     /// Sends messages and reports the datagrams that arrive, until all senders are dropped.
     pub(crate) async fn run(mut self, mut messages: mpsc::UnboundedReceiver<PeerMessage>) {
@@ -82,8 +88,7 @@
                 received = socket.recv_from(&mut buffer), if serves => {
                     // An error is that of an earlier datagram, which could not be delivered.
                     if let Ok((bytes, from)) = received {
-                        let is_tagged = buffer.starts_with(&PROTOCOL_TAG);
-                        let datagram = Datagram { data: &buffer[..bytes], is_tagged, from };
+                        let datagram = Datagram { data: &buffer[..bytes], from };
                         self.receive(&socket, datagram, start.elapsed()).await;
                     }
                 }
@@ -103,14 +108,11 @@
 
     /// Handles a datagram that arrived at `now`, in the time of membership.
     async fn receive(&mut self, socket: &UdpSocket, datagram: Datagram<'_>, now: Duration) {
-        let Datagram {
-            data,
-            is_tagged,
-            from,
-        } = datagram;
+        let is_of_membership = datagram.is_of_membership();
+        let Datagram { data, from } = datagram;
         let number = self.addresses.iter().position(|&address| address == from);
         if number.is_some()
-            && is_tagged
+            && is_of_membership
             && let Some(membership) = self.membership.as_mut()
         {
             match membership.handle_datagram(data, now) {
@@ -178,3 +180,6 @@
         None => std::future::pending().await,
     }
 }
+
+#[cfg(test)]
+mod tests;
