Errors of the decisions' settings name paths of the settings file

Cause: they named aim and most_tries, which are no keys of it, and no class or tenant. Now classes.0.objective, limits.most_tries and so on. Tests: decisions/settings.

--- a/crates/balancer/src/api/validation.rs
+++ b/crates/balancer/src/api/validation.rs
@@ -19,10 +19,10 @@
     #[error("the own zone is not among the configured zones")]
     UnknownZone,
     /// A figure is outside of what makes sense.
-    #[error("the setting `{name}` is out of range")]
+    #[error("the setting `{path}` is out of range")]
     OutOfRange {
-        /// The setting's name in the simulator's first message, not in the configuration file.
-        name: &'static str,
+        /// The path of the setting in the settings file, as in `classes.0.objective`.
+        path: String,
     },
 }
 
@@ -35,13 +35,17 @@
         if self.classes.is_empty() {
             return Err(SettingsError::NoClasses);
         }
-        self.classes.iter().try_for_each(validate_class)?;
-        self.tenants.iter().try_for_each(validate_tenant)?;
+        for (index, class) in self.classes.iter().enumerate() {
+            validate_class(index, class)?;
+        }
+        for (index, tenant) in self.tenants.iter().enumerate() {
+            validate_tenant(index, tenant)?;
+        }
         if self.zone >= self.zones {
             return Err(SettingsError::UnknownZone);
         }
         positive("balancers", f64::from(self.balancers))?;
-        positive("most_tries", f64::from(self.limits.max_attempts))?;
+        positive("limits.most_tries", f64::from(self.limits.max_attempts))?;
         positive("tick", self.tick as f64)?;
         duration("tick", self.tick)?;
         validate_safety(&self.safety)?;
@@ -50,57 +54,61 @@
     }
 }
 
-fn validate_class(class: &ClassSettings) -> Result<(), SettingsError> {
-    positive("aim", class.latency_target as f64)?;
-    duration("aim", class.latency_target)?;
-    duration("deadline", class.deadline)?;
+fn validate_class(index: usize, class: &ClassSettings) -> Result<(), SettingsError> {
+    let path = |key: &str| format!("classes.{index}.{key}");
+    positive(&path("objective"), class.latency_target as f64)?;
+    duration(&path("objective"), class.latency_target)?;
+    positive(&path("hard_limit"), class.deadline as f64)?;
+    duration(&path("hard_limit"), class.deadline)?;
     if let Effect::Deduplicated { window, .. } = class.effect {
-        duration("window", window)?;
+        duration(&path("dedup_window"), window)?;
     }
-    positive("deadline", class.deadline as f64)?;
-    not_negative("worth", class.value)?;
-    fraction("late_share", class.late_value_share)
+    not_negative(&path("worth"), class.value)?;
+    fraction(&path("late_share"), class.late_value_share)
 }
 
-fn validate_tenant(tenant: &TenantSettings) -> Result<(), SettingsError> {
-    not_negative("allowance_per_s", tenant.allowance_per_s)?;
-    fraction("share", tenant.share)
+fn validate_tenant(index: usize, tenant: &TenantSettings) -> Result<(), SettingsError> {
+    let path = |key: &str| format!("tenants.{index}.{key}");
+    not_negative(&path("allowance_per_s"), tenant.allowance_per_s)?;
+    fraction(&path("share"), tenant.share)
 }
 
 fn validate_safety(safety: &Safety) -> Result<(), SettingsError> {
-    duration("ask_within", safety.discovery_interval)?;
-    duration("cold", safety.warm_up)?;
-    duration("fall", safety.overload_window)?;
-    positive("fall_multiple", safety.overload_multiple)?;
-    positive("fall", safety.overload_window as f64)?;
-    positive("cold_share", safety.initial_capacity)?;
-    fraction("cold_share", safety.initial_capacity)
+    duration("safety.ask_within", safety.discovery_interval)?;
+    duration("safety.cold", safety.warm_up)?;
+    duration("safety.fall", safety.overload_window)?;
+    positive("safety.fall_multiple", safety.overload_multiple)?;
+    positive("safety.fall", safety.overload_window as f64)?;
+    positive("safety.cold_share", safety.initial_capacity)?;
+    fraction("safety.cold_share", safety.initial_capacity)
 }
 
 fn validate_penalties(penalties: &Penalties) -> Result<(), SettingsError> {
-    not_negative("cross_zone", penalties.cross_zone)
+    not_negative("penalties.cross_zone", penalties.cross_zone)
 }
 
-fn fraction(name: &'static str, value: f64) -> Result<(), SettingsError> {
-    check(name, (0.0..=1.0).contains(&value))
+fn fraction(path: &str, value: f64) -> Result<(), SettingsError> {
+    check(path, (0.0..=1.0).contains(&value))
 }
 
-fn positive(name: &'static str, value: f64) -> Result<(), SettingsError> {
-    check(name, value.is_finite() && value > 0.0)
+fn positive(path: &str, value: f64) -> Result<(), SettingsError> {
+    check(path, value.is_finite() && value > 0.0)
 }
 
-fn not_negative(name: &'static str, value: f64) -> Result<(), SettingsError> {
-    positive(name, value + f64::MIN_POSITIVE)
+fn not_negative(path: &str, value: f64) -> Result<(), SettingsError> {
+    positive(path, value + f64::MIN_POSITIVE)
 }
 
-fn duration(name: &'static str, value: Micros) -> Result<(), SettingsError> {
-    check(name, value < MAX_DURATION)
+fn duration(path: &str, value: Micros) -> Result<(), SettingsError> {
+    check(path, value < MAX_DURATION)
 }
 
-fn check(name: &'static str, is_valid: bool) -> Result<(), SettingsError> {
+fn check(path: &str, is_valid: bool) -> Result<(), SettingsError> {
     if is_valid {
         Ok(())
     } else {
-        Err(SettingsError::OutOfRange { name })
+        Err(SettingsError::OutOfRange {
+            path: path.to_string(),
+        })
     }
 }
--- a/crates/balancer/tests/decisions/settings.rs
+++ b/crates/balancer/tests/decisions/settings.rs
@@ -11,8 +11,9 @@
     Balancer::new(settings, 1).err()
 }
 
-fn out_of_range(name: &'static str) -> SettingsError {
-    SettingsError::OutOfRange { name }
+fn out_of_range(path: &str) -> SettingsError {
+    let path = path.to_string();
+    SettingsError::OutOfRange { path }
 }
 
 #[test]
@@ -22,9 +23,9 @@
     let unknown_zone = error_after(|settings| settings.zone = 2);
     assert_eq!(unknown_zone, Some(SettingsError::UnknownZone));
     let no_target = error_after(|settings| settings.classes[0].latency_target = 0);
-    assert_eq!(no_target, Some(out_of_range("aim")));
+    assert_eq!(no_target, Some(out_of_range("classes.0.objective")));
     let no_capacity = error_after(|settings| settings.safety.initial_capacity = 0.0);
-    assert_eq!(no_capacity, Some(out_of_range("cold_share")));
+    assert_eq!(no_capacity, Some(out_of_range("safety.cold_share")));
     assert_eq!(error_after(|_| ()), None);
     let mut driver = Driver::ready(idempotent());
     driver.request(1, 7);
@@ -41,7 +42,7 @@
     driver.request_until(1, 0, Micros::MAX);
     assert!(driver.attempts(1) == 1 || driver.rejected.contains_key(&1));
     let extreme = error_after(|settings| settings.classes[0].latency_target = u64::MAX);
-    assert_eq!(extreme, Some(out_of_range("aim")));
+    assert_eq!(extreme, Some(out_of_range("classes.0.objective")));
 }
 
 #[test]
