--- a/crates/balancer/tests/decisions/ejection.rs
+++ b/crates/balancer/tests/decisions/ejection.rs
@@ -282,3 +282,32 @@
     let count = driver.count_served_by(id(1), 100..130, 5 * MS);
     assert!(count > 0, "it is warm and healthy");
 }
+
+/// A response that was on its way when the server began to fail says nothing of it since.
+#[test]
+fn a_success_sent_before_the_ejection_does_not_end_it() {
+    let mut driver = Driver::ready(idempotent());
+    driver.serve_many();
+    let failing = id(1);
+    let mut number = 0;
+    let mut next_at_failing = |driver: &mut Driver| loop {
+        number += 1;
+        driver.request(number, 0);
+        if driver.last_server(number) == failing {
+            return number;
+        }
+        driver.end_attempt(number, 0, Outcome::Ok);
+    };
+    let sent_before = next_at_failing(&mut driver);
+    for _ in 0..2 {
+        let refused = next_at_failing(&mut driver);
+        driver.pass(MS);
+        driver.end_attempt(refused, 0, Outcome::ConnectFailed);
+        driver.end_attempt(refused, 1, Outcome::Ok);
+    }
+    let before = driver.count_served_by(failing, 20_000..20_030, 0);
+    assert_eq!(before, 0, "the server is ejected");
+    driver.end_attempt(sent_before, 0, Outcome::Ok);
+    let after = driver.count_served_by(failing, 30_000..30_030, 0);
+    assert_eq!(after, 0, "it still is");
+}
