Tasks of agent, coordinator, gate and overlay have an owner; a panic is never silent

Cause: the handles of their tasks were dropped: a panic ended a task (the feed of a gate, the listener of a coordinator) and left the process without that part of its work and without a line that says so.

Change: transport::tasks. An owner's tasks end with it; the panic of an essential one is logged and ends the process with an error, which the platform starts anew; that of a connection or check is logged. Links between coordinators hold their owner weakly.

Ruled out: panic = abort, by which one connection would end all streams of a gate.

--- a/crates/agent/src/gate_link.rs
+++ b/crates/agent/src/gate_link.rs
@@ -9,6 +9,7 @@
 use ironmast_schema::control::{FromGate, ToGate};
 use ironmast_transport::link;
 use ironmast_transport::log_limit::LogLimit;
+use ironmast_transport::tasks::Tasks;
 use slog::{Logger, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -23,20 +24,26 @@
 ///
 /// # Errors
 /// The address cannot be bound.
-pub(crate) async fn start(state: &SharedState, address: SocketAddr, log: &Logger) -> Result<()> {
+pub(crate) async fn start(
+    state: &SharedState,
+    address: SocketAddr,
+    log: &Logger,
+    tasks: &Tasks,
+) -> Result<()> {
     let listener = TcpListener::bind(address)
         .await
         .wrap_err_with(|| format!("listening at {address}"))?;
-    actix_rt::spawn(accept(Rc::clone(state), listener, log.clone()));
+    tasks.spawn_essential("gate link", accept(Rc::clone(state), listener, log.clone()));
     Ok(())
 }
 
 async fn accept(state: SharedState, listener: TcpListener, log: Logger) {
+    let gates = Tasks::new(&log);
     let mut errors = LogLimit::default();
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                actix_rt::spawn(serve(Rc::clone(&state), stream));
+                gates.spawn("gate", serve(Rc::clone(&state), stream));
             }
             Err(error) => {
                 if let Some(suppressed) = errors.admit(Instant::now()) {
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -26,6 +26,7 @@
 use ironmast_overlay_transport::OverlayHandle;
 use ironmast_schema::control::Entry;
 use ironmast_schema::settings::{InternalPort, Settings};
+use ironmast_transport::tasks::{TaskFailed, Tasks};
 use slog::{Logger, info, warn};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::mpsc;
@@ -38,7 +39,7 @@
 /// Runs an agent until SIGTERM.
 ///
 /// # Errors
-/// A signal handler cannot be installed, or an address cannot be bound.
+/// A signal handler cannot be installed, an address cannot be bound, or an essential task has failed.
 pub fn run(settings: Settings, log: Logger) -> Result<()> {
     actix_rt::System::new().block_on(Agent::start_and_run(settings, log))
 }
@@ -50,6 +51,7 @@
     /// Entries that the overlay has received.
     entries: mpsc::UnboundedReceiver<Entry>,
     log: Logger,
+    tasks: Tasks,
 }
 
 impl Agent {
@@ -57,7 +59,7 @@
         let terminate = signal(SignalKind::terminate()).wrap_err("waiting for SIGTERM")?;
         let reload = signal(SignalKind::hangup()).wrap_err("waiting for SIGHUP")?;
         let mut agent = Agent::start(&settings, &log).await?;
-        agent.run_until_terminated(terminate, reload).await;
+        agent.run_until_terminated(terminate, reload).await?;
         let grace_period = settings.timing_bounds.grace_period_s * GATE_GRACE_FRACTION;
         agent.drain(Duration::from_secs_f64(grace_period)).await;
         Ok(())
@@ -67,28 +69,34 @@
         let state = Rc::new(RefCell::new(AgentState::new(settings)));
         let feed_port = settings.internal_port(InternalPort::Feed);
         let feed = SocketAddr::from((Ipv4Addr::LOCALHOST, feed_port));
-        gate_link::start(&state, feed, log).await?;
+        let tasks = Tasks::new(log);
+        gate_link::start(&state, feed, log, &tasks).await?;
         state
             .borrow_mut()
             .add_coordinators(&settings.seed_coordinators());
-        // Runs until the process ends.
-        actix_rt::spawn(coordinator_link::run(Rc::clone(&state)));
-        let (overlay, entries) = OverlayHandle::start(settings, Role::Agent, log).await?;
+        tasks.spawn_essential("coordinator link", coordinator_link::run(Rc::clone(&state)));
+        let (overlay, entries) = OverlayHandle::start(settings, Role::Agent, log, &tasks).await?;
         info!(log, "agent started"; "feed" => %feed, "zone" => &settings.zone);
         Ok(Agent {
             state,
             overlay,
             entries,
             log: log.clone(),
+            tasks,
         })
     }
 
-    async fn run_until_terminated(&mut self, mut terminate: Signal, mut reload: Signal) {
+    async fn run_until_terminated(
+        &mut self,
+        mut terminate: Signal,
+        mut reload: Signal,
+    ) -> Result<(), TaskFailed> {
         loop {
             tokio::select! {
+                failed = self.tasks.failed() => return Err(failed),
                 Some(entry) = self.entries.recv() => self.state.borrow_mut().merge(vec![entry]),
                 _ = reload.recv() => self.reload(),
-                _ = terminate.recv() => return,
+                _ = terminate.recv() => return Ok(()),
             }
         }
     }
--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -11,7 +11,9 @@
 use actix_web::web::{self, Bytes, Data, Path, PayloadConfig, Query, ServiceConfig};
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer};
 use eyre::{Result, WrapErr as _};
+use futures_util::FutureExt as _;
 use ironmast_schema::registration::Heartbeat;
+use ironmast_transport::tasks::Tasks;
 use tokio::sync::{mpsc, oneshot};
 
 use crate::command::Command;
@@ -39,11 +41,12 @@
     directory: Option<SocketAddr>,
     commands: &Commands,
     parse: ConfigurationParser,
+    tasks: &Tasks,
 ) -> Result<Vec<ServerHandle>> {
     let control_routes = move |routes: &mut ServiceConfig| control_routes(routes, parse);
-    let mut handles = vec![listen(control_plane, commands, control_routes)?];
+    let mut handles = vec![listen(control_plane, commands, control_routes, tasks)?];
     if let Some(directory) = directory {
-        handles.push(listen(directory, commands, directory_routes)?);
+        handles.push(listen(directory, commands, directory_routes, tasks)?);
     }
     Ok(handles)
 }
@@ -52,6 +55,7 @@
     at: SocketAddr,
     commands: &Commands,
     routes: impl Fn(&mut ServiceConfig) + Clone + Send + 'static,
+    tasks: &Tasks,
 ) -> Result<ServerHandle> {
     let commands = commands.clone();
     let app = move || {
@@ -70,8 +74,9 @@
         .wrap_err_with(|| format!("listening at {at}"))?
         .run();
     let handle = server.handle();
-    // It ends by its handle, which the caller stops and awaits.
-    actix_rt::spawn(server);
+    // It ends by its handle, which the caller stops and awaits. An error would be one of binding,
+    // which has been done.
+    tasks.spawn_essential("HTTP server", server.map(drop));
     Ok(handle)
 }
 
--- a/crates/coordinator/src/event_loop.rs
+++ b/crates/coordinator/src/event_loop.rs
@@ -11,6 +11,7 @@
 use ironmast_overlay_transport::OverlayHandle;
 use ironmast_schema::control::Entry;
 use ironmast_schema::settings::{InternalPort, Settings};
+use ironmast_transport::tasks::{TaskFailed, Tasks};
 use slog::{Logger, info, warn};
 use tokio::signal::unix::Signal;
 use tokio::sync::mpsc;
@@ -19,7 +20,7 @@
 use crate::clock::Clock;
 use crate::command::Command;
 use crate::directory::{ConfigurationParser, Directory};
-use crate::links;
+use crate::links::{self, Links};
 use crate::node::CoordinatorNode;
 use crate::peers::Peers;
 use crate::register_log::Persisted;
@@ -39,9 +40,16 @@
     tick: Interval,
     reload: Signal,
     log: Logger,
+    links: Links,
+    tasks: Rc<Tasks>,
 }
 
 impl EventLoop {
+    /// The owner of the tasks that run beside the loop.
+    pub(crate) fn tasks(&self) -> &Tasks {
+        &self.tasks
+    }
+
     /// Recovers the replica, joins the overlay and starts the links.
     ///
     /// # Errors
@@ -62,7 +70,9 @@
             replica,
             completions,
         } = RegisterReplica::open(settings, own, Clock::since(started), log.clone())?;
-        let (overlay, entries) = OverlayHandle::start(settings, Role::Coordinator, log).await?;
+        let tasks = Rc::new(Tasks::new(log));
+        let (overlay, entries) =
+            OverlayHandle::start(settings, Role::Coordinator, log, &tasks).await?;
         let publisher = Box::new(overlay.clone());
         let directory = Directory::new(&settings.timing_bounds, parse);
         let node = CoordinatorNode::new(
@@ -74,7 +84,8 @@
             log,
         );
         let node = Rc::new(RefCell::new(node));
-        links::start(&node, &settings.seed_coordinators(), log).await?;
+        let links = Links::new(&node, &tasks, log);
+        links::start(&links, &settings.seed_coordinators(), &tasks).await?;
         Ok(EventLoop {
             started,
             node,
@@ -85,11 +96,19 @@
             tick: tokio::time::interval(TICK_INTERVAL),
             reload,
             log: log.clone(),
+            links,
+            tasks,
         })
     }
 
     /// Handles events until `end` completes.
-    pub(crate) async fn run_until(&mut self, end: impl Future<Output = ()>) {
+    ///
+    /// # Errors
+    /// An essential task has failed.
+    pub(crate) async fn run_until(
+        &mut self,
+        end: impl Future<Output = ()>,
+    ) -> Result<(), TaskFailed> {
         let mut end = pin!(end);
         loop {
             let wake_at = self.started + self.node.borrow().wake_at();
@@ -102,7 +121,8 @@
                 Some(command) = self.commands.recv() => self.node.borrow_mut().execute(command),
                 _ = self.tick.tick() => self.node.borrow_mut().tick(),
                 _ = self.reload.recv() => self.reload_seeds(),
-                () = &mut end => return,
+                failed = self.tasks.failed() => return Err(failed),
+                () = &mut end => return Ok(()),
             }
         }
     }
@@ -120,18 +140,22 @@
             }
         };
         self.overlay.set_seeds(&settings);
-        links::connect(&self.node, &settings.seed_coordinators());
+        self.links.connect(&settings.seed_coordinators());
         info!(self.log, "settings reloaded");
     }
 
     /// Announces the shutdown to the other nodes. If another coordinator can take the replica's
     /// place, waits for that, for `timeout` at most.
-    pub(crate) async fn leave(&mut self, timeout: Duration) {
+    ///
+    /// # Errors
+    /// An essential task has failed.
+    pub(crate) async fn leave(&mut self, timeout: Duration) -> Result<(), TaskFailed> {
         self.node.borrow_mut().leave();
         self.overlay.leave();
         let deadline = Instant::now() + timeout;
         while self.node.borrow().can_transfer_replica() && Instant::now() < deadline {
-            self.run_until(tokio::time::sleep(TICK_INTERVAL)).await;
+            self.run_until(tokio::time::sleep(TICK_INTERVAL)).await?;
         }
+        Ok(())
     }
 }
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -49,7 +49,7 @@
 ///
 /// # Errors
 /// The coordinator cannot start: a listener is missing in the settings or cannot be bound, or the
-/// register's log cannot be opened.
+/// register's log cannot be opened. An essential task has failed.
 pub fn run(settings: Settings, log: Logger) -> Result<()> {
     run_with_parser(settings, log, Configuration::parse)
 }
@@ -76,14 +76,20 @@
     let reload = signal(SignalKind::hangup()).wrap_err("waiting for SIGHUP")?;
     let (commands, received) = mpsc::unbounded_channel();
     let mut event_loop = EventLoop::start(&settings, received, reload, &log, parse).await?;
-    let servers = api::start(control_plane, directory, &commands, parse)?;
+    let servers = api::start(
+        control_plane,
+        directory,
+        &commands,
+        parse,
+        event_loop.tasks(),
+    )?;
     info!(log, "coordinator is serving"; "control_plane" => %control_plane, "zone" => &settings.zone);
     event_loop
         .run_until(async { _ = terminate.recv().await })
-        .await;
+        .await?;
     let grace_period =
         Duration::from_secs_f64(settings.timing_bounds.grace_period_s * REPLACEMENT_FRACTION);
-    event_loop.leave(grace_period).await;
+    event_loop.leave(grace_period).await?;
     let stop = async {
         for server in servers {
             server.stop(true).await;
@@ -91,6 +97,6 @@
     };
     event_loop
         .run_until(async { _ = tokio::time::timeout(DRAIN_TIMEOUT, stop).await })
-        .await;
+        .await?;
     Ok(())
 }
--- a/crates/coordinator/src/links.rs
+++ b/crates/coordinator/src/links.rs
@@ -10,13 +10,14 @@
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::{Duration, Instant};
 
 use eyre::{Result, WrapErr as _, bail};
 use ironmast_schema::control::{FromCoordinator, Hello, PROTOCOL_VERSION, ToCoordinator};
 use ironmast_transport::link;
 use ironmast_transport::log_limit::LogLimit;
+use ironmast_transport::tasks::Tasks;
 use slog::{Logger, warn};
 use thiserror::Error;
 use tokio::net::{TcpListener, TcpStream};
@@ -34,31 +35,53 @@
 
 type SharedNode = Rc<RefCell<CoordinatorNode>>;
 
-/// Listens for agents and coordinators, and connects to the seeds. The tasks run until the process
-/// ends.
+/// What the links share. Each link's task holds it.
+#[derive(Clone)]
+pub(crate) struct Links {
+    node: SharedNode,
+    /// The tasks of the links, which their owner may have ended.
+    tasks: Weak<Tasks>,
+    log: Logger,
+}
+
+impl Links {
+    /// No links yet; `tasks` will own those that are opened.
+    pub(crate) fn new(node: &SharedNode, tasks: &Rc<Tasks>, log: &Logger) -> Self {
+        Links {
+            node: Rc::clone(node),
+            tasks: Rc::downgrade(tasks),
+            log: log.clone(),
+        }
+    }
+
+    /// Connects to those of the coordinators that were not known.
+    pub(crate) fn connect(&self, coordinators: &[SocketAddr]) {
+        let Some(tasks) = self.tasks.upgrade() else {
+            return;
+        };
+        for address in coordinators {
+            let is_new = self.node.borrow_mut().add_peer(*address);
+            if is_new {
+                tasks.spawn_essential("coordinator link", keep_connected(self.clone(), *address));
+            }
+        }
+    }
+}
+
+/// Listens for agents and coordinators, and connects to the seeds.
 ///
 /// # Errors
 /// The own address cannot be bound.
-pub(crate) async fn start(node: &SharedNode, seeds: &[SocketAddr], log: &Logger) -> Result<()> {
-    let own = node.borrow().own_address();
+pub(crate) async fn start(links: &Links, seeds: &[SocketAddr], tasks: &Tasks) -> Result<()> {
+    let own = links.node.borrow().own_address();
     let listener = TcpListener::bind(own)
         .await
         .wrap_err_with(|| format!("listening at {own}"))?;
-    actix_rt::spawn(accept(Rc::clone(node), listener, log.clone()));
-    connect(node, seeds);
+    tasks.spawn_essential("links of other nodes", accept(links.clone(), listener));
+    links.connect(seeds);
     Ok(())
 }
 
-/// Connects to those of the coordinators that were not known.
-pub(crate) fn connect(node: &SharedNode, coordinators: &[SocketAddr]) {
-    for address in coordinators {
-        let is_new = node.borrow_mut().add_peer(*address);
-        if is_new {
-            actix_rt::spawn(keep_connected(Rc::clone(node), *address));
-        }
-    }
-}
-
 /// Why a subscriber's link has ended.
 #[derive(Debug, Error)]
 enum SubscriberError {
@@ -86,16 +109,17 @@
 }
 
 /// Accepts subscribers.
-async fn accept(node: SharedNode, listener: TcpListener, log: Logger) {
+async fn accept(links: Links, listener: TcpListener) {
+    let log = &links.log;
+    let subscribers = Tasks::new(log);
     let mut accept_errors = LogLimit::default();
     let mismatches = Rc::new(RefCell::new(LogLimit::default()));
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                let (node, log) = (Rc::clone(&node), log.clone());
-                let mismatches = Rc::clone(&mismatches);
-                actix_rt::spawn(async move {
-                    let Err(error) = serve_subscriber(node, stream).await else {
+                let (links, mismatches) = (links.clone(), Rc::clone(&mismatches));
+                subscribers.spawn("subscriber", async move {
+                    let Err(error) = serve_subscriber(&links, stream).await else {
                         return;
                     };
                     // Other links fail whenever another node restarts; the node has unsubscribed
@@ -104,7 +128,7 @@
                         && let Some(suppressed) = mismatches.borrow_mut().admit(Instant::now())
                     {
                         warn!(
-                            log, "a node speaks another version of the protocol";
+                            links.log, "a node speaks another version of the protocol";
                             "peer" => %peer, "error" => %error, "suppressed" => suppressed
                         );
                     }
@@ -121,11 +145,11 @@
 }
 
 /// Keeps a link to another coordinator.
-async fn keep_connected(node: SharedNode, address: SocketAddr) {
-    let inbound = node.borrow_mut().inbound_notify(address);
+async fn keep_connected(links: Links, address: SocketAddr) {
+    let inbound = links.node.borrow_mut().inbound_notify(address);
     loop {
         // Links fail whenever another node restarts; whatever the error, the link is opened again.
-        let _ = run_peer_link(&node, address).await;
+        let _ = run_peer_link(&links, address).await;
         tokio::select! {
             () = tokio::time::sleep(RECONNECT_DELAY) => {}
             // The peer has connected to this coordinator: it is listening by now.
@@ -135,7 +159,8 @@
 }
 
 /// Connects to another coordinator and runs the link until it fails.
-async fn run_peer_link(node: &SharedNode, address: SocketAddr) -> Result<()> {
+async fn run_peer_link(links: &Links, address: SocketAddr) -> Result<()> {
+    let node = &links.node;
     let (mut receiver, mut sender) =
         link::connect::<FromCoordinator, ToCoordinator>(address, CONNECT_TIMEOUT).await?;
     let coordinator = Some(node.borrow().own_address());
@@ -154,7 +179,7 @@
                 let Some(frame) = frame? else { bail!("{address} closed the link") };
                 idle.as_mut().reset(tokio::time::Instant::now() + IDLE_TIMEOUT);
                 let known = node.borrow_mut().receive_peer_frame(frame);
-                connect(node, &known);
+                links.connect(&known);
             }
             Some(frame) = outgoing.recv() => sender.send(&frame).await?,
             () = &mut idle => bail!("{address} sent nothing for {IDLE_TIMEOUT:?}"),
@@ -163,7 +188,8 @@
 }
 
 /// Serves a subscriber until its link fails.
-async fn serve_subscriber(node: SharedNode, stream: TcpStream) -> Result<(), SubscriberError> {
+async fn serve_subscriber(links: &Links, stream: TcpStream) -> Result<(), SubscriberError> {
+    let node = &links.node;
     let (mut receiver, mut sender) =
         link::split::<ToCoordinator, FromCoordinator>(stream).map_err(link::Error::from)?;
     // The subscriber's first frame says which kind of node it is.
@@ -179,7 +205,7 @@
     };
     let (queue, mut outgoing) = mpsc::unbounded_channel();
     let id = node.borrow_mut().subscribe(queue, kind);
-    connect(&node, hello.coordinator.as_slice());
+    links.connect(hello.coordinator.as_slice());
     if let Some(coordinator) = hello.coordinator {
         node.borrow_mut().inbound_notify(coordinator).notify_one();
     }
--- a/crates/gate/src/health.rs
+++ b/crates/gate/src/health.rs
@@ -10,6 +10,7 @@
 use actix_http::header::HeaderMap;
 use ironmast_routing::{HealthCheck, HealthCheckOutcome, Micros};
 use ironmast_transport::attempt::{AttemptOptions, AttemptState, Delivery};
+use ironmast_transport::tasks::Tasks;
 
 use crate::gate::Gate;
 use crate::headers;
@@ -30,6 +31,7 @@
 
 /// Checks servers for as long as the gate runs.
 pub(crate) async fn run(gate: Rc<Gate>) {
+    let checks = Tasks::new(&gate.log);
     let mut due = Vec::new();
     for round in 0_u32.. {
         tokio::time::sleep(CHECK_INTERVAL).await;
@@ -37,12 +39,11 @@
             .borrow_mut()
             .due_health_checks(gate.clock.now(), &mut due);
         for check in due.drain(..) {
-            // Ends by itself within the timeout of a check.
-            actix_rt::spawn(check_ejected(Rc::clone(&gate), check));
+            checks.spawn("health check", check_ejected(Rc::clone(&gate), check));
         }
         let invalidated = gate.limits.borrow_mut().take_invalidated();
         for instance in invalidated {
-            query_warmup(&gate, instance);
+            query_warmup(&gate, instance, &checks);
         }
         if round % SWEEP_ROUNDS == 0 {
             let is_known = |instance: &str| gate.is_accepting(instance);
@@ -62,7 +63,7 @@
 }
 
 /// Checks a server to learn how much longer it is warming up, if its service limits that.
-fn query_warmup(gate: &Rc<Gate>, instance: Arc<str>) {
+fn query_warmup(gate: &Rc<Gate>, instance: Arc<str>, checks: &Tasks) {
     let Some(server) = gate.accepting_server(&instance) else {
         return;
     };
@@ -73,7 +74,7 @@
         return;
     };
     let gate = Rc::clone(gate);
-    actix_rt::spawn(async move {
+    checks.spawn("warm-up check", async move {
         let sent_at = gate.clock.now();
         let result = send_check(&gate, server.address, &path, &instance).await;
         record_warmup(&gate, sent_at, &instance, &result);
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -43,25 +43,22 @@
 }
 
 /// Sends and receives for as long as the gate runs. A gate that can't bind its port serves without.
-pub(crate) fn start(gate: &Rc<Gate>) {
-    let gate = Rc::clone(gate);
-    actix_rt::spawn(async move {
-        let address = {
-            let settings = gate.settings.borrow();
-            SocketAddr::new(
-                settings.ip_address,
-                settings.internal_port(InternalPort::Gate),
-            )
-        };
-        match UdpSocket::bind(address).await {
-            Ok(socket) => {
-                tokio::join!(receive_all(&gate, &socket), send_all(&gate, &socket));
-            }
-            Err(error) => {
-                warn!(gate.log, "cannot open the socket for load reports of other gates"; "address" => %address, "error" => %error);
-            }
+pub(crate) async fn run(gate: Rc<Gate>) {
+    let address = {
+        let settings = gate.settings.borrow();
+        SocketAddr::new(
+            settings.ip_address,
+            settings.internal_port(InternalPort::Gate),
+        )
+    };
+    match UdpSocket::bind(address).await {
+        Ok(socket) => {
+            tokio::join!(receive_all(&gate, &socket), send_all(&gate, &socket));
         }
-    });
+        Err(error) => {
+            warn!(gate.log, "cannot open the socket for load reports of other gates"; "address" => %address, "error" => %error);
+        }
+    }
 }
 
 async fn receive_all(gate: &Gate, socket: &UdpSocket) {
--- a/crates/gate/src/serve.rs
+++ b/crates/gate/src/serve.rs
@@ -12,6 +12,7 @@
 use ironmast_transport::descriptors::DescriptorBudget;
 use ironmast_transport::listener::{Listener, Service};
 use ironmast_transport::sockets;
+use ironmast_transport::tasks::Tasks;
 use slog::{Logger, info, warn};
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::sync::watch;
@@ -44,7 +45,7 @@
 /// grace period lasts.
 ///
 /// # Errors
-/// What prevents the gate from starting.
+/// What prevents the gate from starting, or an essential task that has failed.
 pub async fn serve(
     settings: Settings,
     log: Logger,
@@ -64,15 +65,26 @@
     // The listeners accept connections for as long as this sender lives.
     let (_serving, is_serving) = watch::channel(true);
     let service = Rc::new(Frontend::new(Rc::clone(&gate), memory_mb));
-    let listener = listen(&gate, frontend, service, client_budget, is_serving.clone())?;
+    let tasks = Tasks::new(&gate.log);
+    let listener = listen(
+        &gate,
+        frontend,
+        service,
+        client_budget,
+        is_serving.clone(),
+        &tasks,
+    )?;
     if let Some(address) = readiness {
         let service = Rc::new(ReadinessService::new(Rc::clone(&gate)));
         let budget = DescriptorBudget::new(MAX_READINESS_CONNECTIONS);
-        listen(&gate, address, service, budget, is_serving)?;
+        listen(&gate, address, service, budget, is_serving, &tasks)?;
     }
-    spawn_background_tasks(&gate, frontend, &listener);
+    spawn_background_tasks(&gate, frontend, &listener, &tasks);
     info!(gate.log, "gate is serving"; "frontend" => %frontend);
-    reload_until(terminate, reload, &gate).await;
+    tokio::select! {
+        () = reload_until(terminate, reload, &gate) => {}
+        failed = tasks.failed() => return Err(failed.into()),
+    }
     drain::run(&gate, &listener).await;
     Ok(())
 }
@@ -100,6 +112,7 @@
     service: Rc<S>,
     budget: DescriptorBudget,
     is_serving: watch::Receiver<bool>,
+    tasks: &Tasks,
 ) -> Result<Rc<Listener<S>>> {
     let limits = client_limits(ClientLimits::default());
     let listener = Listener::new(
@@ -111,22 +124,23 @@
         is_serving,
     );
     let socket = sockets::listen(address).wrap_err_with(|| format!("listening at {address}"))?;
-    actix_rt::spawn(Rc::clone(&listener).accept(Rc::new(socket)));
+    let accepting = Rc::clone(&listener).accept(Rc::new(socket));
+    tasks.spawn_essential("listener", accepting);
     Ok(listener)
 }
 
-/// Starts the tasks that run for as long as the gate's thread does.
+/// Starts the tasks that run for as long as the gate does.
 fn spawn_background_tasks(
     gate: &Rc<Gate>,
     frontend: SocketAddr,
     listener: &Rc<Listener<Frontend>>,
+    tasks: &Tasks,
 ) {
     let listener = Rc::clone(listener);
     let set_limits = move |limits| listener.set_limits(limits);
-    // These run until the process ends; what they own is released with it.
-    actix_rt::spawn(feed::run(Rc::clone(gate), frontend, set_limits));
-    actix_rt::spawn(health::run(Rc::clone(gate)));
-    peers::start(gate);
+    tasks.spawn_essential("feed", feed::run(Rc::clone(gate), frontend, set_limits));
+    tasks.spawn_essential("health checks", health::run(Rc::clone(gate)));
+    tasks.spawn_essential("load reports", peers::run(Rc::clone(gate)));
 }
 
 /// Reloads the settings at each SIGHUP until `terminate` is done.
--- a/crates/gate/tests/lifecycle.rs
+++ b/crates/gate/tests/lifecycle.rs
@@ -112,3 +112,16 @@
         gate.wait_for_shutdown().await;
     });
 }
+
+/// The tasks of a gate end with it: none goes on listening or following the agent.
+#[test]
+fn a_gate_that_has_shut_down_leaves_no_task() {
+    run_test(async {
+        let (_server, mut gate, _client) = start_with_one_server().await;
+        let frontend = gate.frontend;
+        gate.terminate().await;
+        gate.wait_for_closed_link().await;
+        let connected = tokio::net::TcpStream::connect(frontend).await;
+        assert!(connected.is_err(), "it still listens");
+    });
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -207,6 +207,19 @@
         self.serving.await.expect("it shut down well");
     }
 
+    /// Waits until the gate has shut down, and then until it has closed its link to the agent.
+    pub(crate) async fn wait_for_closed_link(self) {
+        let TestGate {
+            serving,
+            mut receiver,
+            sender,
+            ..
+        } = self;
+        serving.await.expect("it shut down well");
+        while let Ok(Some(_)) = receiver.next().await {}
+        drop(sender);
+    }
+
     /// A new client.
     pub(crate) async fn connect(&self) -> Client {
         Client::connect(self.frontend).await
--- a/crates/overlay-transport/src/driver.rs
+++ b/crates/overlay-transport/src/driver.rs
@@ -12,6 +12,7 @@
 use ironmast_overlay::{Action, Descriptor, Event, Message, Overlay, Settings};
 use ironmast_schema::control::Entry;
 use ironmast_transport::log_limit::LogLimit;
+use ironmast_transport::tasks::Tasks;
 use slog::{Logger, debug, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
@@ -40,6 +41,8 @@
     events: EventSender,
     updates: mpsc::UnboundedSender<Entry>,
     log: Logger,
+    /// The connections.
+    tasks: Tasks,
     accept_errors: LogLimit,
     decoding_errors: LogLimit,
 }
@@ -94,6 +97,7 @@
             timer: None,
             events,
             updates,
+            tasks: Tasks::new(&log),
             log,
             accept_errors: LogLimit::default(),
             decoding_errors: LogLimit::default(),
@@ -211,13 +215,15 @@
         let local_address = self.overlay.node().address;
         let events = self.events.clone();
         // Ends once the driver drops its queue, or with the peer; its events say so.
-        actix_rt::spawn(connection::open(peer, id, local_address, events));
+        let connection = connection::open(peer, id, local_address, events);
+        self.tasks.spawn("overlay connection", connection);
     }
 
     fn accept(&mut self, stream: TcpStream) {
         let id = self.next_connection();
         // As in `connect`.
-        actix_rt::spawn(connection::accept(stream, id, self.events.clone()));
+        let connection = connection::accept(stream, id, self.events.clone());
+        self.tasks.spawn("overlay connection", connection);
     }
 
     fn next_connection(&mut self) -> ConnectionId {
--- a/crates/overlay-transport/src/driver/tests.rs
+++ b/crates/overlay-transport/src/driver/tests.rs
@@ -20,6 +20,7 @@
 
 /// A coordinator that runs, and the channels of its owner.
 struct RunningNode {
+    tasks: Tasks,
     address: SocketAddr,
     commands: mpsc::UnboundedSender<Command>,
     _updates: mpsc::UnboundedReceiver<Entry>,
@@ -47,14 +48,12 @@
     let (commands, command_receiver) = mpsc::unbounded_channel();
     let (updates, entries) = mpsc::unbounded_channel();
     let log = Logger::root(slog::Discard, slog::o!());
-    actix_rt::spawn(run(
-        listener,
-        descriptor(address, Role::Coordinator),
-        command_receiver,
-        updates,
-        log,
-    ));
+    let tasks = Tasks::new(&log);
+    let local_node = descriptor(address, Role::Coordinator);
+    let driver = run(listener, local_node, command_receiver, updates, log);
+    tasks.spawn_essential("overlay", driver);
     RunningNode {
+        tasks,
         address,
         commands,
         _updates: entries,
@@ -228,3 +227,18 @@
         assert!(arrived > 0 && arrived < PUBLISHED_ENTRIES, "{arrived}");
     });
 }
+
+/// The driver's task and those of its connections end with their owner.
+#[test]
+fn a_node_whose_owner_is_gone_closes_its_connections_and_its_listener() {
+    run_in_system(async {
+        let node = start_coordinator().await;
+        let (_listener, peer_address) = listen().await;
+        let (mut receiver, mut sender) = dial(&node, peer_address).await;
+        request_shuffle(&mut sender).await;
+        assert!(receives(&mut receiver, is_shuffle_reply).await);
+        drop(node.tasks);
+        assert!(!receives(&mut receiver, |_| false).await);
+        assert!(TcpStream::connect(node.address).await.is_err());
+    });
+}
--- a/crates/overlay-transport/src/lib.rs
+++ b/crates/overlay-transport/src/lib.rs
@@ -20,6 +20,7 @@
 use ironmast_overlay::{Descriptor, Key as OverlayKey, Locality, Role, Version};
 use ironmast_schema::control::{Entry, Key};
 use ironmast_schema::settings::{InternalPort, Settings};
+use ironmast_transport::tasks::Tasks;
 use slog::{Logger, error};
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -69,7 +70,8 @@
 
 impl OverlayHandle {
     /// Listens at the node's address and joins the overlay. The receiver yields the entries that
-    /// are newer than the node's own.
+    /// are newer than the node's own. The node ends with the last handle, or with the owner of its
+    /// task.
     ///
     /// # Errors
     /// The listening address cannot be bound.
@@ -77,6 +79,7 @@
         settings: &Settings,
         role: Role,
         log: &Logger,
+        tasks: &Tasks,
     ) -> Result<(Self, mpsc::UnboundedReceiver<Entry>), BindError> {
         let port = settings.internal_port(InternalPort::Agent);
         let address = SocketAddr::new(settings.ip_address, port);
@@ -91,13 +94,8 @@
         };
         let (commands, command_receiver) = mpsc::unbounded_channel();
         let (updates, entries) = mpsc::unbounded_channel();
-        actix_rt::spawn(driver::run(
-            listener,
-            local_node,
-            command_receiver,
-            updates,
-            log.clone(),
-        ));
+        let driver = driver::run(listener, local_node, command_receiver, updates, log.clone());
+        tasks.spawn_essential("overlay", driver);
         let handle = OverlayHandle {
             commands,
             log: log.clone(),
--- a/crates/transport/src/lib.rs
+++ b/crates/transport/src/lib.rs
@@ -10,6 +10,7 @@
 //! - Sockets: [`descriptors`] limits how many are open, [`observed_stream`] reports their traffic,
 //!   [`sockets`] opens them, and [`clock`] reads the time.
 //! - Logs: [`log_limit`] keeps a persisting cause from filling them.
+//! - Tasks: [`tasks`] gives each an owner.
 //! - Between processes: [`link`] carries messages over one connection; [`frames`] does so over many
 //!   connections, with handshakes, bounded queues and an in-memory network for tests.
 #![forbid(unsafe_code)]
@@ -31,3 +32,4 @@
 pub mod request_body;
 pub mod response_validation;
 pub mod sockets;
+pub mod tasks;
