Endpoints: times are Duration, in place of an alias of u64

Cause: Micros was an alias, so that a time, a sequence and a version could be mixed. The coordinator holds times as Duration already. A type change only: tests keep their values; the simulation and the properties pass.

--- a/crates/coordinator/src/published_endpoints.rs
+++ b/crates/coordinator/src/published_endpoints.rs
@@ -4,7 +4,9 @@
 //! therefore private to this module, and each method that changes an entry publishes what other
 //! nodes need to learn of.
 
-use ironmast_endpoints::{EndpointTable, ExpiryTimeouts, GateView, MergeOutcome, Micros};
+use std::time::Duration;
+
+use ironmast_endpoints::{EndpointTable, ExpiryTimeouts, GateView, MergeOutcome};
 use ironmast_schema::control::{ControlState, Entry, Key, Observation, Value};
 use ironmast_schema::registration::Heartbeat;
 use ironmast_schema::settings::Settings;
@@ -13,9 +15,9 @@
 use crate::publisher::EntryPublisher;
 
 /// Number of heartbeat intervals without a heartbeat after which a server counts as silent.
-const MAX_MISSED_HEARTBEATS: u64 = 4;
-/// Time in microseconds without a report after which a gate receives no new clients.
-const GATE_TIMEOUT_US: Micros = 1_300_000;
+const MAX_MISSED_HEARTBEATS: u32 = 4;
+/// Time without a report after which a gate receives no new clients.
+const GATE_TIMEOUT: Duration = Duration::from_millis(1_300);
 
 /// The endpoint table and its publisher.
 pub(crate) struct PublishedEndpoints {
@@ -34,12 +36,12 @@
     ) -> Self {
         publisher.set_in_contact(false);
         let timeouts = ExpiryTimeouts {
-            instance: settings.heartbeat_interval_ms * 1_000 * MAX_MISSED_HEARTBEATS,
-            gate: GATE_TIMEOUT_US,
+            instance: Duration::from_millis(settings.heartbeat_interval_ms) * MAX_MISSED_HEARTBEATS,
+            gate: GATE_TIMEOUT,
         };
         PublishedEndpoints {
             clock,
-            table: EndpointTable::new(0, timeouts),
+            table: EndpointTable::new(Duration::ZERO, timeouts),
             publisher,
         }
     }
@@ -145,7 +147,7 @@
         }
     }
 
-    fn now(&self) -> Micros {
-        self.clock.now().as_micros() as Micros
+    fn now(&self) -> Duration {
+        self.clock.now()
     }
 }
--- a/crates/coordinator/src/resolve/tests.rs
+++ b/crates/coordinator/src/resolve/tests.rs
@@ -1,5 +1,7 @@
 //! Selection of gates for a client.
 
+use std::time::Duration;
+
 use ironmast_schema::control::GateRecord;
 
 use super::*;
@@ -64,7 +66,7 @@
         .map(|(number, record)| GateView {
             frontend: address(number),
             record,
-            last_heard: number as u64,
+            last_heard: Duration::from_micros(number as u64),
             is_reachable: true,
             is_directly_reachable: false,
         })
@@ -190,7 +192,7 @@
             .map(|(number, record)| GateView {
                 frontend: address(number),
                 record,
-                last_heard: 0,
+                last_heard: Duration::ZERO,
                 is_reachable: true,
                 is_directly_reachable: direct.contains(&number),
             })
@@ -240,7 +242,7 @@
     let gate = GateView {
         frontend,
         record: &record,
-        last_heard: 0,
+        last_heard: Duration::ZERO,
         is_reachable: false,
         is_directly_reachable: false,
     };
--- a/crates/endpoints/src/clock.rs
+++ /dev/null
@@ -1,4 +0,0 @@
-//! The unit of time.
-
-/// Microseconds of a monotonic clock.
-pub type Micros = u64;
--- a/crates/endpoints/src/contacts.rs
+++ b/crates/endpoints/src/contacts.rs
@@ -1,19 +1,19 @@
 //! When each endpoint was last heard from, by this coordinator or by another one.
 
+use std::time::Duration;
+
 use ironmast_schema::control::{Key, Observation};
 use rustc_hash::FxHashMap;
 
-use crate::clock::Micros;
-
 /// The last contact with one endpoint.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Contact {
     /// When any coordinator last heard from it.
-    pub(crate) last: Micros,
+    pub(crate) last: Duration,
     /// The highest heartbeat sequence (instances) or version (gates) heard of.
     pub(crate) sequence: u64,
     /// When this coordinator itself last heard from it.
-    pub(crate) last_direct: Option<Micros>,
+    pub(crate) last_direct: Option<Duration>,
 }
 
 /// The last contacts with all endpoints.
@@ -30,13 +30,13 @@
     }
 
     /// Records a message that the endpoint sent to this coordinator.
-    pub(crate) fn record_direct(&mut self, now: Micros, key: &Key, sequence: u64) {
+    pub(crate) fn record_direct(&mut self, now: Duration, key: &Key, sequence: u64) {
         self.record(now, key, sequence).last_direct = Some(now);
         self.unreported.insert(key.clone(), sequence);
     }
 
     /// Records that another coordinator has heard from the endpoint.
-    pub(crate) fn record_indirect(&mut self, now: Micros, key: &Key, sequence: u64) {
+    pub(crate) fn record_indirect(&mut self, now: Duration, key: &Key, sequence: u64) {
         self.record(now, key, sequence);
     }
 
@@ -52,7 +52,7 @@
             .collect()
     }
 
-    fn record(&mut self, now: Micros, key: &Key, sequence: u64) -> &mut Contact {
+    fn record(&mut self, now: Duration, key: &Key, sequence: u64) -> &mut Contact {
         let contact = self.by_key.entry(key.clone()).or_insert(Contact {
             last: now,
             sequence,
--- a/crates/endpoints/src/expiry.rs
+++ b/crates/endpoints/src/expiry.rs
@@ -1,9 +1,10 @@
 //! Expiry of endpoints that have not reported within their timeout, and removal of the entries of
 //! inactive endpoints.
 
+use std::time::Duration;
+
 use ironmast_schema::control::{Entry, Key, Liveness, Value};
 
-use crate::clock::Micros;
 use crate::contacts::Contact;
 use crate::table::{EndpointTable, ExpiryTimeouts};
 use crate::versions;
@@ -19,18 +20,18 @@
 
 /// How long the entry of an endpoint that is deregistered, unreachable or down is kept after its
 /// last contact. Until then it keeps late updates of the endpoint from bringing it back.
-pub(crate) const RETENTION: Micros = 120_000_000;
+pub(crate) const RETENTION: Duration = Duration::from_secs(120);
 
 impl EndpointTable {
     /// Restarts all expiry timeouts. Called when this coordinator regains contact with the others:
     /// out of contact it did not learn which endpoints reported to them.
-    pub fn restart_expiry(&mut self, now: Micros) {
+    pub fn restart_expiry(&mut self, now: Duration) {
         self.expiry_since = now;
     }
 
     /// Expires the endpoints whose timeout has passed; returns their entries to send to the other
     /// nodes.
-    pub fn expire(&mut self, now: Micros) -> Vec<Entry> {
+    pub fn expire(&mut self, now: Duration) -> Vec<Entry> {
         let may_expire_instances = self.may_expire_instances(now);
         let (timeouts, since) = (self.timeouts, self.expiry_since);
         let mut expired = Vec::new();
@@ -55,14 +56,14 @@
     /// Whether instances may expire. While this coordinator itself receives no heartbeats, or has
     /// just started, it is more likely partitioned than all servers are down: expiring them would
     /// empty the table.
-    fn may_expire_instances(&self, now: Micros) -> bool {
+    fn may_expire_instances(&self, now: Duration) -> bool {
         let timeout = self.timeouts.instance;
         now >= self.expiry_since + timeout && now <= self.last_heartbeat + timeout / 2
     }
 
     /// Removes the entries of inactive endpoints whose retention has passed; returns the removals
     /// to send to the other nodes.
-    pub fn purge(&mut self, now: Micros) -> Vec<Removal> {
+    pub fn purge(&mut self, now: Duration) -> Vec<Removal> {
         let contacts = &mut self.contacts;
         let mut removed = Vec::new();
         self.entries.retain(|key, entry| {
@@ -87,7 +88,7 @@
 /// whether it has changed. The new version is above that of the last contact.
 fn expire_entry(
     entry: &mut Entry,
-    silent_for: Micros,
+    silent_for: Duration,
     last_sequence: u64,
     timeouts: ExpiryTimeouts,
 ) -> bool {
--- a/crates/endpoints/src/gates.rs
+++ b/crates/endpoints/src/gates.rs
@@ -1,10 +1,10 @@
 //! Gates: their status updates, and a view of them for address resolution.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use ironmast_schema::control::{Entry, GateRecord, Key, Value};
 
-use crate::clock::Micros;
 use crate::contacts::Contact;
 use crate::table::EndpointTable;
 
@@ -16,7 +16,7 @@
     /// The latest state of the gate.
     pub record: &'a GateRecord,
     /// When any coordinator last heard from it.
-    pub last_heard: Micros,
+    pub last_heard: Duration,
     /// Whether any coordinator has heard from it within the expiry timeout.
     pub is_reachable: bool,
     /// Whether this coordinator itself has heard from it within the expiry timeout.
@@ -28,7 +28,7 @@
     /// learn of the change.
     pub fn update_gate(
         &mut self,
-        now: Micros,
+        now: Duration,
         key: Key,
         version: u64,
         record: GateRecord,
@@ -46,7 +46,7 @@
     }
 
     /// The gates of the table, including those that are down.
-    pub fn gates(&self, now: Micros) -> impl Iterator<Item = GateView<'_>> {
+    pub fn gates(&self, now: Duration) -> impl Iterator<Item = GateView<'_>> {
         self.entries
             .iter()
             .filter_map(move |(key, entry)| match (key, &entry.value) {
@@ -59,12 +59,12 @@
 
     fn gate_view<'a>(
         &self,
-        now: Micros,
+        now: Duration,
         frontend: SocketAddr,
         record: &'a GateRecord,
         contact: Option<&Contact>,
     ) -> GateView<'a> {
-        let is_recent = |at: Micros| now <= at + self.timeouts.gate;
+        let is_recent = |at: Duration| now <= at + self.timeouts.gate;
         GateView {
             frontend,
             record,
--- a/crates/endpoints/src/instances.rs
+++ b/crates/endpoints/src/instances.rs
@@ -1,9 +1,10 @@
 //! Registration of server instances: heartbeats and deregistration.
 
+use std::time::Duration;
+
 use ironmast_schema::control::{Entry, InstanceRecord, Key, Liveness, Value};
 use ironmast_schema::registration::Heartbeat;
 
-use crate::clock::Micros;
 use crate::table::EndpointTable;
 use crate::versions;
 
@@ -12,7 +13,7 @@
     /// learn of the change.
     pub fn record_heartbeat(
         &mut self,
-        now: Micros,
+        now: Duration,
         id: &str,
         heartbeat: Heartbeat,
     ) -> Option<Entry> {
@@ -38,7 +39,7 @@
 
     /// Records that a server has deregistered; returns the entry to send to the other nodes, or
     /// `None` if the server is unknown or has deregistered before.
-    pub fn deregister(&mut self, now: Micros, id: &str) -> Option<Entry> {
+    pub fn deregister(&mut self, now: Duration, id: &str) -> Option<Entry> {
         let key = Key::Instance(id.to_string());
         let entry = self.entries.get_mut(&key)?;
         let Value::Instance(record) = &mut entry.value else {
--- a/crates/endpoints/src/lib.rs
+++ b/crates/endpoints/src/lib.rs
@@ -10,7 +10,6 @@
 //! The crate does no I/O: the caller passes the time and sends what the methods return.
 #![forbid(unsafe_code)]
 
-mod clock;
 mod contacts;
 mod diff;
 mod expiry;
@@ -19,7 +18,6 @@
 mod table;
 mod versions;
 
-pub use clock::Micros;
 pub use expiry::Removal;
 pub use gates::GateView;
 pub use table::{EndpointTable, ExpiryTimeouts, MergeOutcome};
--- a/crates/endpoints/src/table.rs
+++ b/crates/endpoints/src/table.rs
@@ -1,9 +1,10 @@
 //! The table itself: entries by key, and the merge of entries from other nodes.
 
+use std::time::Duration;
+
 use ironmast_schema::control::{ControlState, Entry, Key, Observation, Value};
 use rustc_hash::FxHashMap;
 
-use crate::clock::Micros;
 use crate::contacts::Contacts;
 use crate::diff::is_relevant_change;
 
@@ -11,9 +12,9 @@
 #[derive(Debug, Clone, Copy)]
 pub struct ExpiryTimeouts {
     /// The timeout of server instances.
-    pub instance: Micros,
+    pub instance: Duration,
     /// The timeout of gates.
-    pub gate: Micros,
+    pub gate: Duration,
 }
 
 /// The outcome of merging an entry from another node.
@@ -32,17 +33,17 @@
 pub struct EndpointTable {
     pub(crate) timeouts: ExpiryTimeouts,
     /// Contacts before this time don't count towards expiry.
-    pub(crate) expiry_since: Micros,
+    pub(crate) expiry_since: Duration,
     pub(crate) entries: FxHashMap<Key, Entry>,
     pub(crate) contacts: Contacts,
     /// When this coordinator itself last received a heartbeat from any server.
-    pub(crate) last_heartbeat: Micros,
+    pub(crate) last_heartbeat: Duration,
 }
 
 impl EndpointTable {
     /// An empty table.
     #[must_use]
-    pub fn new(now: Micros, timeouts: ExpiryTimeouts) -> Self {
+    pub fn new(now: Duration, timeouts: ExpiryTimeouts) -> Self {
         EndpointTable {
             timeouts,
             expiry_since: now,
@@ -68,7 +69,7 @@
     /// if it is newer than the stored one.
     pub fn update_control_state(
         &mut self,
-        now: Micros,
+        now: Duration,
         version: u64,
         state: ControlState,
     ) -> Option<Entry> {
@@ -81,7 +82,7 @@
     }
 
     /// Merges an entry from another node: the higher version wins.
-    pub fn merge(&mut self, now: Micros, entry: &Entry) -> MergeOutcome {
+    pub fn merge(&mut self, now: Duration, entry: &Entry) -> MergeOutcome {
         if let Some(known) = self.entries.get(&entry.key) {
             if known.version > entry.version && is_relevant_change(&entry.value, &known.value) {
                 return MergeOutcome::Stale(Box::new(known.clone()));
@@ -98,7 +99,7 @@
 
     /// Records that another coordinator has heard from these endpoints. Entries stay as they are:
     /// the contents of those heartbeats come as entries of their own, perhaps later.
-    pub fn merge_observed(&mut self, now: Micros, observed: &[Observation]) {
+    pub fn merge_observed(&mut self, now: Duration, observed: &[Observation]) {
         for Observation { key, sequence } in observed {
             let is_late = self
                 .contacts
@@ -121,7 +122,7 @@
     /// than the stored entry.
     pub(crate) fn store_direct(
         &mut self,
-        now: Micros,
+        now: Duration,
         entry: Entry,
         sequence: u64,
     ) -> Option<Entry> {
--- a/crates/endpoints/src/tests/expiry.rs
+++ b/crates/endpoints/src/tests/expiry.rs
@@ -6,20 +6,20 @@
 use proptest::prelude::*;
 
 use crate::expiry::RETENTION;
-use crate::{EndpointTable, Micros, Removal};
+use crate::{EndpointTable, Removal};
 
 use super::support::{
-    SECOND, TIMEOUTS, expire_instance, gate, gate_key, heartbeat, key, observation, ready, record,
-    table, version_of,
+    SECOND, START, TICK, TIMEOUTS, expire_instance, gate, gate_key, heartbeat, key, observation,
+    ready, record, table, version_of,
 };
 
 #[test]
 fn a_silent_instance_expires_while_others_send_heartbeats() {
     let mut table = table();
     let heard = table
-        .record_heartbeat(0, "a", ready(1))
+        .record_heartbeat(START, "a", ready(1))
         .expect("distributed");
-    let (at, silent) = expire_instance(&mut table, 0, "a");
+    let (at, silent) = expire_instance(&mut table, START, "a");
     assert!(at > TIMEOUTS.instance);
     assert!(silent.version > heard.version);
     assert_matches!(&silent.value, Value::Instance(record) if record.liveness == Liveness::Unreachable);
@@ -28,8 +28,8 @@
 #[test]
 fn a_coordinator_without_heartbeats_expires_nobody() {
     let mut table = table();
-    table.record_heartbeat(0, "a", ready(1));
-    table.record_heartbeat(0, "b", ready(1));
+    table.record_heartbeat(START, "a", ready(1));
+    table.record_heartbeat(START, "b", ready(1));
     assert_eq!(table.expire(100 * SECOND), []);
 }
 
@@ -38,7 +38,7 @@
     let mut fresh = EndpointTable::new(50 * SECOND, TIMEOUTS);
     let mut earlier = table();
     let entry = earlier
-        .record_heartbeat(0, "a", ready(1))
+        .record_heartbeat(START, "a", ready(1))
         .expect("distributed");
     fresh.merge(50 * SECOND, &entry);
     fresh.record_heartbeat(53 * SECOND, "b", ready(1));
@@ -48,10 +48,10 @@
 #[test]
 fn an_expired_instance_that_returns_has_a_higher_version() {
     let mut table = table();
-    table.record_heartbeat(0, "a", ready(1));
-    let (at, silent) = expire_instance(&mut table, 0, "a");
+    table.record_heartbeat(START, "a", ready(1));
+    let (at, silent) = expire_instance(&mut table, START, "a");
     let back = table
-        .record_heartbeat(at + 1, "a", ready(2))
+        .record_heartbeat(at + TICK, "a", ready(2))
         .expect("distributed");
     assert!(back.version > silent.version);
     assert_eq!(record(&table, "a").liveness, Liveness::Alive);
@@ -60,20 +60,20 @@
 #[test]
 fn a_late_heartbeat_does_not_revive_an_expired_instance() {
     let mut table = table();
-    table.record_heartbeat(0, "a", ready(1));
-    let (at, silent) = expire_instance(&mut table, 0, "a");
-    assert_eq!(table.record_heartbeat(at + 1, "a", ready(1)), None);
+    table.record_heartbeat(START, "a", ready(1));
+    let (at, silent) = expire_instance(&mut table, START, "a");
+    assert_eq!(table.record_heartbeat(at + TICK, "a", ready(1)), None);
     assert_eq!(table.get(&key("a")), Some(&silent));
 }
 
 #[test]
 fn an_instance_observed_by_another_coordinator_does_not_expire() {
     let mut table = table();
-    table.record_heartbeat(0, "a", ready(1));
+    table.record_heartbeat(START, "a", ready(1));
     for second in 1..=20 {
         let now = second * SECOND;
-        table.record_heartbeat(now, "other", ready(second));
-        table.merge_observed(now, &[observation("a", second + 1)]);
+        table.record_heartbeat(now, "other", ready(second.into()));
+        table.merge_observed(now, &[observation("a", u64::from(second) + 1)]);
         assert_eq!(table.expire(now), []);
     }
 }
@@ -81,10 +81,10 @@
 #[test]
 fn an_older_observation_does_not_postpone_expiry() {
     let mut table = table();
-    table.record_heartbeat(0, "a", ready(9));
+    table.record_heartbeat(START, "a", ready(9));
     for second in 1..=5 {
         table.merge_observed(second * SECOND, &[observation("a", 8)]);
-        table.record_heartbeat(second * SECOND, "other", ready(second));
+        table.record_heartbeat(second * SECOND, "other", ready(second.into()));
     }
     assert_eq!(table.expire(5 * SECOND).len(), 1);
 }
@@ -93,9 +93,9 @@
 #[test]
 fn expiry_is_above_every_observed_sequence() {
     let mut table = table();
-    table.record_heartbeat(0, "a", ready(1));
-    table.merge_observed(1, &[observation("a", 7)]);
-    let (_, silent) = expire_instance(&mut table, 0, "a");
+    table.record_heartbeat(START, "a", ready(1));
+    table.merge_observed(TICK, &[observation("a", 7)]);
+    let (_, silent) = expire_instance(&mut table, START, "a");
     assert!(silent.version > version_of(&ready(7)));
     assert!(silent.version < version_of(&ready(8)));
 }
@@ -104,30 +104,30 @@
 #[test]
 fn restart_expiry_disregards_earlier_silence() {
     let mut table = table();
-    table.record_heartbeat(0, "a", ready(1));
-    table.update_gate(0, gate_key(), 4, gate(true));
+    table.record_heartbeat(START, "a", ready(1));
+    table.update_gate(START, gate_key(), 4, gate(true));
     let back = 30 * SECOND;
     table.restart_expiry(back);
     table.record_heartbeat(back, "b", ready(1));
     assert_eq!(table.expire(back), []);
     assert_eq!(table.expire(back + TIMEOUTS.gate), []);
     table.record_heartbeat(back + TIMEOUTS.instance, "b", ready(2));
-    assert_eq!(table.expire(back + TIMEOUTS.instance + 1).len(), 2);
+    assert_eq!(table.expire(back + TIMEOUTS.instance + TICK).len(), 2);
 }
 
 #[test]
 fn purge_removes_ended_entries_with_versions_above_theirs() {
     let mut table = table();
-    table.record_heartbeat(0, "a", ready(1));
-    let gone = table.deregister(1, "a").expect("distributed");
-    table.record_heartbeat(1, "b", ready(1));
+    table.record_heartbeat(START, "a", ready(1));
+    let gone = table.deregister(TICK, "a").expect("distributed");
+    table.record_heartbeat(TICK, "b", ready(1));
     assert_eq!(table.purge(RETENTION), []);
     let removal = Removal {
         key: key("a"),
         version: gone.version + 1,
     };
-    assert_eq!(table.purge(2 + RETENTION), [removal]);
-    assert_eq!(table.purge(3 + RETENTION), []);
+    assert_eq!(table.purge(2 * TICK + RETENTION), [removal]);
+    assert_eq!(table.purge(3 * TICK + RETENTION), []);
     assert!(table.get(&key("b")).is_some());
 }
 
@@ -139,7 +139,7 @@
         let mut table = table();
         let mut last = 0;
         for (at, (kind, sequence, drains)) in calls.into_iter().enumerate() {
-            let now = at as Micros * SECOND;
+            let now = at as u32 * SECOND;
             let state = if drains { InstanceState::Draining } else { InstanceState::Ready };
             match kind {
                 0 => table.merge_observed(now, &[observation("a", sequence)]),
--- a/crates/endpoints/src/tests/gates.rs
+++ b/crates/endpoints/src/tests/gates.rs
@@ -1,15 +1,17 @@
 //! Status updates and reachability of gates.
 
+use std::time::Duration;
+
 use assert_matches::assert_matches;
 use ironmast_schema::control::GateStatus;
 
+use crate::EndpointTable;
 use crate::expiry::RETENTION;
-use crate::{EndpointTable, Micros};
 
-use super::support::{SECOND, gate, gate_key, gates_accepting_clients, ready_gates, table};
+use super::support::{SECOND, START, gate, gate_key, gates_accepting_clients, ready_gates, table};
 
 /// How many of them are reachable from this coordinator itself.
-fn directly_reachable_gates(table: &EndpointTable, now: Micros) -> usize {
+fn directly_reachable_gates(table: &EndpointTable, now: Duration) -> usize {
     gates_accepting_clients(table, now)
         .filter(|gate| gate.is_directly_reachable)
         .count()
@@ -18,8 +20,8 @@
 #[test]
 fn a_silent_gate_is_down_until_its_next_update() {
     let mut table = table();
-    table.update_gate(0, gate_key(), 4, gate(true));
-    assert_eq!(ready_gates(&table, 0), 1);
+    table.update_gate(START, gate_key(), 4, gate(true));
+    assert_eq!(ready_gates(&table, START), 1);
     let gone = table.expire(3 * SECOND);
     assert_matches!(&gone[..], [entry] if entry.version > 4 && entry.version < 8);
     assert_eq!(ready_gates(&table, 3 * SECOND), 0);
@@ -35,11 +37,14 @@
 fn direct_reachability_is_distinguished_from_reachability_by_others() {
     let (mut here, mut there) = (table(), table());
     let distributed = there
-        .update_gate(0, gate_key(), 4, gate(true))
+        .update_gate(START, gate_key(), 4, gate(true))
         .expect("distributed");
-    here.merge(0, &distributed);
+    here.merge(START, &distributed);
     assert_eq!(
-        (ready_gates(&here, 0), directly_reachable_gates(&here, 0)),
+        (
+            ready_gates(&here, START),
+            directly_reachable_gates(&here, START)
+        ),
         (1, 0)
     );
     here.update_gate(SECOND, gate_key(), 8, gate(true));
@@ -70,12 +75,12 @@
 fn a_stopped_gate_is_distinguished_from_a_lost_one() {
     for (ready, then) in [(true, GateStatus::Lost), (false, GateStatus::Stopped)] {
         let mut table = table();
-        table.update_gate(0, gate_key(), 4, gate(ready));
+        table.update_gate(START, gate_key(), 4, gate(ready));
         table.expire(3 * SECOND);
         assert_eq!(status(&table), Some(then));
         assert_eq!(
             table.gates(3 * SECOND).next().map(|gate| gate.last_heard),
-            Some(0)
+            Some(START)
         );
     }
 }
@@ -83,7 +88,7 @@
 #[test]
 fn the_removal_of_a_gate_is_below_its_next_update() {
     let mut table = table();
-    table.update_gate(0, gate_key(), 4, gate(true));
+    table.update_gate(START, gate_key(), 4, gate(true));
     table.expire(3 * SECOND);
     let removed = table.purge(10 * SECOND + RETENTION);
     assert_matches!(&removed[..], [removal] if removal.version < 8);
--- a/crates/endpoints/src/tests/merge.rs
+++ b/crates/endpoints/src/tests/merge.rs
@@ -11,7 +11,8 @@
 use crate::{EndpointTable, MergeOutcome};
 
 use super::support::{
-    SECOND, draining, expire_instance, gate, gate_key, heartbeat, ready, ready_gates, record, table,
+    SECOND, START, TICK, draining, expire_instance, gate, gate_key, heartbeat, ready, ready_gates,
+    record, table,
 };
 
 /// Another coordinator's observation of a heartbeat may arrive before the heartbeat's entry.
@@ -19,14 +20,14 @@
 fn an_observed_sequence_does_not_hide_its_heartbeat_that_arrives_later() {
     let (mut here, mut there) = (table(), table());
     let first = there
-        .record_heartbeat(0, "a", ready(1))
+        .record_heartbeat(START, "a", ready(1))
         .expect("distributed");
-    here.merge(0, &first);
+    here.merge(START, &first);
     let second = there
-        .record_heartbeat(1, "a", draining(2))
+        .record_heartbeat(TICK, "a", draining(2))
         .expect("distributed");
-    here.merge_observed(2, &there.take_observed());
-    assert_eq!(here.merge(3, &second), MergeOutcome::Newer);
+    here.merge_observed(2 * TICK, &there.take_observed());
+    assert_eq!(here.merge(3 * TICK, &second), MergeOutcome::Newer);
     assert_eq!(record(&here, "a").heartbeat, draining(2));
 }
 
@@ -34,15 +35,15 @@
 fn an_observed_gate_version_does_not_hide_its_update_that_arrives_later() {
     let (mut here, mut there) = (table(), table());
     let first = there
-        .update_gate(0, gate_key(), 4, gate(true))
+        .update_gate(START, gate_key(), 4, gate(true))
         .expect("distributed");
-    here.merge(0, &first);
+    here.merge(START, &first);
     let second = there
-        .update_gate(1, gate_key(), 8, gate(false))
+        .update_gate(TICK, gate_key(), 8, gate(false))
         .expect("distributed");
-    here.merge_observed(2, &there.take_observed());
-    assert_eq!(here.merge(3, &second), MergeOutcome::Newer);
-    assert_eq!(ready_gates(&here, 3), 0);
+    here.merge_observed(2 * TICK, &there.take_observed());
+    assert_eq!(here.merge(3 * TICK, &second), MergeOutcome::Newer);
+    assert_eq!(ready_gates(&here, 3 * TICK), 0);
 }
 
 /// One coordinator expires a server from which another has since received unchanged heartbeats.
@@ -50,16 +51,16 @@
 fn a_coordinator_with_a_newer_entry_returns_it_for_a_stale_one() {
     let (mut cut_off, mut hears) = (table(), table());
     let first = hears
-        .record_heartbeat(0, "a", ready(1))
+        .record_heartbeat(START, "a", ready(1))
         .expect("distributed");
-    cut_off.merge(0, &first);
-    for sequence in 2..10 {
+    cut_off.merge(START, &first);
+    for sequence in 2..10_u32 {
         assert_eq!(
-            hears.record_heartbeat(sequence * SECOND, "a", ready(sequence)),
+            hears.record_heartbeat(sequence * SECOND, "a", ready(sequence.into())),
             None
         );
     }
-    let (_, silent) = expire_instance(&mut cut_off, 0, "a");
+    let (_, silent) = expire_instance(&mut cut_off, START, "a");
     let again =
         assert_matches!(hears.merge(10 * SECOND, &silent), MergeOutcome::Stale(again) => again);
     assert_eq!(cut_off.merge(10 * SECOND, &again), MergeOutcome::Newer);
@@ -70,10 +71,10 @@
 fn an_older_entry_without_a_relevant_difference_is_known() {
     let (mut here, mut there) = (table(), table());
     let first = there
-        .record_heartbeat(0, "a", ready(1))
+        .record_heartbeat(START, "a", ready(1))
         .expect("distributed");
-    here.record_heartbeat(1, "a", ready(2));
-    assert_eq!(here.merge(2, &first), MergeOutcome::Known);
+    here.record_heartbeat(TICK, "a", ready(2));
+    assert_eq!(here.merge(2 * TICK, &first), MergeOutcome::Known);
 }
 
 #[test]
@@ -85,12 +86,12 @@
     };
     assert!(
         table
-            .update_control_state(0, 2, evacuated.clone())
+            .update_control_state(START, 2, evacuated.clone())
             .is_some()
     );
     assert!(
         table
-            .update_control_state(1, 1, ControlState::default())
+            .update_control_state(TICK, 1, ControlState::default())
             .is_none()
     );
     let held = table.get(&Key::Control).expect("held");
@@ -102,9 +103,9 @@
     let mut random = Xoshiro256PlusPlus::seed_from_u64(seed);
     let mut source = table();
     let mut entries = Vec::new();
-    let (mut now, mut sequence) = (0, 0);
+    let (mut now, mut sequence) = (START, 0);
     for _ in 0..random.random_range(1..60) {
-        now += random.random_range(0..2 * SECOND);
+        now += random.random_range(START..2 * SECOND);
         sequence += 1;
         let id = ["a", "b", "c"][random.random_range(0..3)];
         let state = [InstanceState::Ready, InstanceState::Draining][random.random_range(0..2)];
@@ -130,11 +131,11 @@
         shuffled.shuffle(&mut random);
         let (mut one, mut other) = (table(), table());
         for entry in &entries {
-            one.merge(0, entry);
+            one.merge(START, entry);
         }
         for entry in &shuffled {
             let before = other.get(&entry.key).map(|held| held.version);
-            other.merge(0, entry);
+            other.merge(START, entry);
             let after = other.get(&entry.key).map(|held| held.version);
             prop_assert!(after >= before, "{:?} went back", entry.key);
         }
--- a/crates/endpoints/src/tests/support.rs
+++ b/crates/endpoints/src/tests/support.rs
@@ -1,17 +1,23 @@
 //! Tables, heartbeats and gates for the tests.
 
+use std::time::Duration;
+
 use ironmast_schema::control::{
     Entry, GateRecord, GateStatus, InstanceRecord, Key, Observation, Value,
 };
 use ironmast_schema::registration::{Heartbeat, InstanceState};
 
-use crate::{EndpointTable, ExpiryTimeouts, GateView, Micros};
+use crate::{EndpointTable, ExpiryTimeouts, GateView};
 
-pub(super) const SECOND: Micros = 1_000_000;
+/// When the tables of the tests are made.
+pub(super) const START: Duration = Duration::ZERO;
+/// The shortest time.
+pub(super) const TICK: Duration = Duration::from_micros(1);
+pub(super) const SECOND: Duration = Duration::from_secs(1);
 
 pub(super) const TIMEOUTS: ExpiryTimeouts = ExpiryTimeouts {
-    instance: 4 * SECOND,
-    gate: 2 * SECOND,
+    instance: Duration::from_secs(4),
+    gate: Duration::from_secs(2),
 };
 
 pub(super) fn heartbeat(sequence: u64, state: InstanceState) -> Heartbeat {
@@ -37,7 +43,7 @@
 }
 
 pub(super) fn table() -> EndpointTable {
-    EndpointTable::new(0, TIMEOUTS)
+    EndpointTable::new(START, TIMEOUTS)
 }
 
 pub(super) fn key(id: &str) -> Key {
@@ -65,7 +71,7 @@
 }
 
 /// How many gates accept new clients and are reachable from any coordinator.
-pub(super) fn ready_gates(table: &EndpointTable, now: Micros) -> usize {
+pub(super) fn ready_gates(table: &EndpointTable, now: Duration) -> usize {
     gates_accepting_clients(table, now)
         .filter(|gate| gate.is_reachable)
         .count()
@@ -73,7 +79,7 @@
 
 pub(super) fn gates_accepting_clients(
     table: &EndpointTable,
-    now: Micros,
+    now: Duration,
 ) -> impl Iterator<Item = GateView<'_>> {
     table
         .gates(now)
@@ -90,9 +96,9 @@
 /// Lets `id` expire while `other` sends heartbeats; returns the time and the entry of its expiry.
 pub(super) fn expire_instance(
     table: &mut EndpointTable,
-    from: Micros,
+    from: Duration,
     id: &str,
-) -> (Micros, Entry) {
+) -> (Duration, Entry) {
     let mut sequence = 1_000;
     for second in 1..=20 {
         let now = from + second * SECOND;
@@ -112,7 +118,7 @@
 pub(super) fn version_of(heartbeat: &Heartbeat) -> u64 {
     let mut table = table();
     table
-        .record_heartbeat(0, "a", heartbeat.clone())
+        .record_heartbeat(START, "a", heartbeat.clone())
         .expect("distributed")
         .version
 }
--- a/crates/endpoints/tests/simulation/checks.rs
+++ b/crates/endpoints/tests/simulation/checks.rs
@@ -1,6 +1,7 @@
 //! What a run checks: its invariants, and the mechanisms without which one is violated.
 
-use ironmast_endpoints::Micros;
+use std::time::Duration;
+
 use ironmast_schema::control::Liveness;
 
 /// A mechanism that a test can remove to see that it is missed.
@@ -22,13 +23,13 @@
     Revived {
         agent: usize,
         server: usize,
-        at: Micros,
+        at: Duration,
     },
     /// An agent had not learned in time that a server drains.
     DrainLate {
         agent: usize,
         server: usize,
-        at: Micros,
+        at: Duration,
     },
     /// At the end a node holds another state than the actual one.
     Diverged {
--- a/crates/endpoints/tests/simulation/network.rs
+++ b/crates/endpoints/tests/simulation/network.rs
@@ -2,14 +2,14 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
 
-use ironmast_endpoints::Micros;
 use ironmast_schema::control::{Entry, Observation};
 use rand::RngExt as _;
 use rand_xoshiro::Xoshiro256PlusPlus;
 
 /// Range of a message's latency, in microseconds.
-const LATENCY: std::ops::Range<Micros> = 1_000..400_000;
+const LATENCY: std::ops::Range<Duration> = Duration::from_millis(1)..Duration::from_millis(400);
 
 /// A message between nodes.
 pub(super) enum Message {
@@ -36,7 +36,7 @@
     coordinators: usize,
     pub(super) partition: Option<Partition>,
     in_transit: BTreeMap<u64, Delivery>,
-    due: BinaryHeap<Reverse<(Micros, u64)>>,
+    due: BinaryHeap<Reverse<(Duration, u64)>>,
     last_number: u64,
 }
 
@@ -54,7 +54,7 @@
     /// Sends a message, which is lost if the nodes are partitioned.
     pub(super) fn send(
         &mut self,
-        now: Micros,
+        now: Duration,
         random: &mut Xoshiro256PlusPlus,
         from: usize,
         delivery: Delivery,
@@ -69,7 +69,7 @@
     }
 
     /// Takes the next message that arrives at `now` at the latest.
-    pub(super) fn take_due(&mut self, now: Micros) -> Option<Delivery> {
+    pub(super) fn take_due(&mut self, now: Duration) -> Option<Delivery> {
         let &Reverse((at, number)) = self.due.peek()?;
         if at > now {
             return None;
--- a/crates/endpoints/tests/simulation/server.rs
+++ b/crates/endpoints/tests/simulation/server.rs
@@ -1,6 +1,7 @@
 //! The simulated servers and their heartbeats.
 
-use ironmast_endpoints::Micros;
+use std::time::Duration;
+
 use ironmast_schema::control::Key;
 use ironmast_schema::registration::{Heartbeat, InstanceState};
 
@@ -18,11 +19,11 @@
     pub(super) phase: Phase,
     pub(super) sequence: u64,
     /// When it sends its next heartbeat.
-    pub(super) next: Micros,
+    pub(super) next: Duration,
     /// The coordinator that it sends heartbeats to.
     pub(super) coordinator: usize,
     /// When it drains, deregisters or crashes next.
-    pub(super) transition_at: Micros,
+    pub(super) transition_at: Duration,
 }
 
 /// The heartbeat that a server sends now.
--- a/crates/endpoints/tests/simulation/world.rs
+++ b/crates/endpoints/tests/simulation/world.rs
@@ -2,8 +2,9 @@
 //! partitions.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
-use ironmast_endpoints::{EndpointTable, ExpiryTimeouts, MergeOutcome, Micros};
+use ironmast_endpoints::{EndpointTable, ExpiryTimeouts, MergeOutcome};
 use ironmast_schema::control::{Entry, Key, Liveness};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_xoshiro::Xoshiro256PlusPlus;
@@ -13,38 +14,42 @@
 use super::network::{Delivery, Message, Network, Partition};
 use super::server::{Phase, Server, heartbeat, name, number};
 
-const MS: Micros = 1_000;
-const STEP: Micros = 50 * MS;
+/// Milliseconds.
+const fn ms(milliseconds: u64) -> Duration {
+    Duration::from_millis(milliseconds)
+}
+
+const STEP: Duration = ms(50);
 const AGENTS: usize = 20;
 const SERVERS: usize = 8;
-const INTERVAL: Micros = 1_200 * MS;
+const INTERVAL: Duration = ms(1_200);
 const TIMEOUTS: ExpiryTimeouts = ExpiryTimeouts {
-    instance: 4 * INTERVAL,
-    gate: 2_500 * MS,
+    instance: INTERVAL.saturating_mul(4),
+    gate: ms(2_500),
 };
 /// No fault begins after this.
-const LAST_FAULT_AT: Micros = 30_000 * MS;
-const END: Micros = 45_000 * MS;
+const LAST_FAULT_AT: Duration = ms(30_000);
+const END: Duration = ms(45_000);
 /// A draining server's state reaches every agent within this.
-const DRAIN_DEADLINE: Micros = 3_000 * MS;
+const DRAIN_DEADLINE: Duration = ms(3_000);
 
 /// A server that began to drain in a time without faults.
 struct Drain {
     server: usize,
-    at: Micros,
+    at: Duration,
 }
 
 /// Coordinators first, then agents.
 pub(crate) struct World {
-    now: Micros,
+    now: Duration,
     random: Xoshiro256PlusPlus,
     removed: Option<Guard>,
     tables: Vec<EndpointTable>,
     stores: Vec<BTreeMap<Key, Entry>>,
     servers: Vec<Server>,
     network: Network,
-    next_fault_at: Micros,
-    last_fault: Micros,
+    next_fault_at: Duration,
+    last_fault: Duration,
     drains: Vec<Drain>,
     pub violations: Vec<Violation>,
 }
@@ -55,22 +60,22 @@
         let servers = (0..SERVERS).map(|_| Server {
             phase: Phase::Ready,
             sequence: 0,
-            next: random.random_range(0..INTERVAL),
+            next: random.random_range(Duration::ZERO..INTERVAL),
             coordinator: random.random_range(0..coordinators),
-            transition_at: random.random_range(5_000 * MS..80_000 * MS),
+            transition_at: random.random_range(ms(5_000)..ms(80_000)),
         });
         World {
-            now: 0,
+            now: Duration::ZERO,
             servers: servers.collect(),
             random,
             removed,
             tables: (0..coordinators)
-                .map(|_| EndpointTable::new(0, TIMEOUTS))
+                .map(|_| EndpointTable::new(Duration::ZERO, TIMEOUTS))
                 .collect(),
             stores: vec![BTreeMap::new(); coordinators + AGENTS],
             network: Network::new(coordinators),
-            next_fault_at: 4_000 * MS,
-            last_fault: 0,
+            next_fault_at: ms(4_000),
+            last_fault: Duration::ZERO,
             drains: Vec::new(),
             violations: Vec::new(),
         }
@@ -82,10 +87,10 @@
             self.deliver();
             self.inject_faults();
             (0..SERVERS).for_each(|server| self.advance(server));
-            if self.now.is_multiple_of(250 * MS) {
+            if self.is_each(ms(250)) {
                 self.tick();
             }
-            if self.now.is_multiple_of(500 * MS) && self.removed != Some(Guard::AntiEntropy) {
+            if self.is_each(ms(500)) && self.removed != Some(Guard::AntiEntropy) {
                 self.run_anti_entropy();
             }
             self.check_drains();
@@ -93,6 +98,11 @@
         self.check_end();
     }
 
+    /// Whether a multiple of an interval has come.
+    fn is_each(&self, interval: Duration) -> bool {
+        self.now.as_nanos().is_multiple_of(interval.as_nanos())
+    }
+
     fn coordinators(&self) -> usize {
         self.tables.len()
     }
@@ -102,7 +112,7 @@
         if self.now < self.next_fault_at {
             return;
         }
-        self.next_fault_at = self.now + self.random.random_range(1_000 * MS..8_000 * MS);
+        self.next_fault_at = self.now + self.random.random_range(ms(1_000)..ms(8_000));
         self.last_fault = self.now;
         if self.network.partition.take().is_some() || self.now >= LAST_FAULT_AT {
             return;
@@ -132,9 +142,9 @@
             }
             Phase::Ready if due => {
                 self.servers[server].phase = Phase::Draining;
-                self.servers[server].transition_at = self.now + 4_000 * MS;
+                self.servers[server].transition_at = self.now + ms(4_000);
                 self.servers[server].next = self.now;
-                if self.network.partition.is_none() && self.now > self.last_fault + 5_000 * MS {
+                if self.network.partition.is_none() && self.now > self.last_fault + ms(5_000) {
                     self.drains.push(Drain {
                         server,
                         at: self.now,
