Overlay: the version of a key is a type of its own

Cause: key and version were two aliases of u64, side by side in pairs, messages and calls. Encoded as the number alone, as before: messages.rs a_version_is_encoded_as_its_number; the tests of tags and fields are unchanged.

--- a/crates/overlay-transport/src/driver/tests.rs
+++ b/crates/overlay-transport/src/driver/tests.rs
@@ -197,7 +197,7 @@
         node.commands
             .send(Command::Publish {
                 key,
-                version: 1,
+                version: ironmast_overlay::Version(1),
                 payload,
             })
             .expect("it runs");
--- a/crates/overlay-transport/src/lib.rs
+++ b/crates/overlay-transport/src/lib.rs
@@ -120,7 +120,7 @@
         match encode(entry) {
             Ok((key, payload)) => self.send(Command::Publish {
                 key,
-                version: entry.version,
+                version: Version(entry.version),
                 payload,
             }),
             Err(error) => {
@@ -133,7 +133,10 @@
     /// their owners are not notified. `version` must be higher than the published ones.
     pub fn remove(&self, key: &Key, version: u64) {
         match overlay_key(key) {
-            Ok(key) => self.send(Command::Remove { key, version }),
+            Ok(key) => self.send(Command::Remove {
+                key,
+                version: Version(version),
+            }),
             Err(error) => {
                 error!(self.log, "cannot encode a key, it is not removed"; "error" => %error);
             }
--- a/crates/overlay-transport/src/send_queue/tests.rs
+++ b/crates/overlay-transport/src/send_queue/tests.rs
@@ -6,7 +6,7 @@
     let payload = Some(Arc::from(vec![0; bytes]));
     let entry = Entry {
         key: 1,
-        version: 1,
+        version: ironmast_overlay::Version(1),
         removed_s: 0,
         payload,
     };
--- a/crates/overlay/src/entry.rs
+++ b/crates/overlay/src/entry.rs
@@ -7,8 +7,12 @@
 /// The key of an entry, chosen by the user of the overlay.
 pub type Key = u64;
 
-/// The version of a key: a higher version is newer.
-pub type Version = u64;
+/// The version of a key: a higher version is newer. Encoded as the number alone.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Version(pub u64);
 
 /// One version of one key.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/overlay/src/store.rs
+++ b/crates/overlay/src/store.rs
@@ -190,7 +190,9 @@
     /// The stored version of `key`, 0 for none.
     #[must_use]
     pub fn version(&self, key: Key) -> Version {
-        self.entries.get(&key).map_or(0, |stored| stored.version)
+        self.entries
+            .get(&key)
+            .map_or(Version::default(), |stored| stored.version)
     }
 
     /// The stored entry of `key`, in the form in which it is sent.
@@ -255,5 +257,5 @@
         .payload
         .as_ref()
         .map_or(0, |payload| hash::bytes(payload));
-    hash::pair(hash::pair(entry.key, entry.version), content)
+    hash::pair(hash::pair(entry.key, entry.version.0), content)
 }
--- a/crates/overlay/src/store/tests.rs
+++ b/crates/overlay/src/store/tests.rs
@@ -7,10 +7,10 @@
 
 const RETENTION: Duration = Duration::from_secs(100);
 
-fn entry(key: Key, version: Version, content: Option<u8>) -> Entry {
+fn entry(key: Key, version: u64, content: Option<u8>) -> Entry {
     Entry {
         key,
-        version,
+        version: Version(version),
         removed_s: 0,
         payload: content.map(|byte| Arc::from(vec![byte; 3])),
     }
@@ -45,7 +45,7 @@
     );
     assert_eq!(
         (store.len(), store.tombstones(), store.version(1)),
-        (0, 1, 6)
+        (0, 1, Version(6))
     );
 }
 
@@ -54,7 +54,7 @@
     let mut store = Store::new(RETENTION).without_version_check();
     store.merge(Duration::ZERO, &entry(1, 5, Some(1)));
     store.merge(Duration::ZERO, &entry(1, 4, Some(9)));
-    assert_eq!(store.version(1), 4);
+    assert_eq!(store.version(1), Version(4));
 }
 
 #[test]
--- a/crates/overlay/tests/messages.rs
+++ b/crates/overlay/tests/messages.rs
@@ -6,7 +6,7 @@
 
 use ironmast_overlay::{
     Action, Descriptor, Event, Heartbeat, Locality, Message, Overlay, Role, RootHeartbeat,
-    Settings, Store, TreePosition,
+    Settings, Store, TreePosition, Version,
 };
 use proptest::prelude::*;
 
@@ -138,3 +138,14 @@
         }
     }
 }
+
+/// Earlier releases send versions as bare numbers.
+#[test]
+fn a_version_is_encoded_as_its_number() {
+    for number in [0, 1, 127, 128, u64::MAX] {
+        let encoded = postcard::to_stdvec(&Version(number)).expect("serializable");
+        assert_eq!(encoded, postcard::to_stdvec(&number).expect("serializable"));
+        let decoded: Version = postcard::from_bytes(&encoded).expect("a version");
+        assert_eq!(decoded, Version(number));
+    }
+}
--- a/crates/overlay/tests/overlay/faults.rs
+++ b/crates/overlay/tests/overlay/faults.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ironmast_overlay::{Descriptor, Event, Settings};
+use ironmast_overlay::{Descriptor, Event, Settings, Version};
 
 use crate::support::deployment::{Deployment, address, index};
 use crate::support::simulation::{Simulation, ms};
@@ -36,7 +36,7 @@
     let running = sim.nodes.iter().filter_map(|node| node.overlay.as_ref());
     running
         .into_iter()
-        .all(|overlay| overlay.store().version(key) == version)
+        .all(|overlay| overlay.store().version(key) == Version(version))
 }
 
 fn all_fresh(sim: &Simulation, age: Duration) -> bool {
--- a/crates/overlay/tests/overlay/guards.rs
+++ b/crates/overlay/tests/overlay/guards.rs
@@ -1,6 +1,6 @@
 //! Each mechanism is disabled in turn, and the property that it maintains is shown to break.
 
-use ironmast_overlay::{Guards, Settings};
+use ironmast_overlay::{Guards, Settings, Version};
 
 use crate::support::deployment::Deployment;
 use crate::support::simulation::{Simulation, ms};
@@ -17,7 +17,7 @@
 fn count_storing(sim: &Simulation, key: u64, version: u64) -> usize {
     let running = sim.nodes.iter().filter_map(|node| node.overlay.as_ref());
     running
-        .filter(|overlay| overlay.store().version(key) == version)
+        .filter(|overlay| overlay.store().version(key) == Version(version))
         .count()
 }
 
--- a/crates/overlay/tests/overlay/load.rs
+++ b/crates/overlay/tests/overlay/load.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use ironmast_overlay::Settings;
+use ironmast_overlay::{Settings, Version};
 
 use crate::support::deployment::Deployment;
 use crate::support::simulation::{Simulation, ms};
@@ -15,7 +15,7 @@
 
 fn stores_all(sim: &Simulation, node: usize, keys: u64) -> bool {
     let overlay = sim.nodes[node].overlay.as_ref().expect("running");
-    (0..keys).all(|key| overlay.store().version(key) > 0)
+    (0..keys).all(|key| overlay.store().version(key) > Version::default())
 }
 
 /// Runs until all `nodes` store all `keys`, checked every 10 ms, and returns the time.
--- a/crates/overlay/tests/overlay/random_faults.rs
+++ b/crates/overlay/tests/overlay/random_faults.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use ironmast_overlay::{Event, Settings};
+use ironmast_overlay::{Event, Settings, Version};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_xoshiro::Xoshiro256PlusPlus;
 
@@ -108,6 +108,7 @@
 
     fn publish_version(&mut self, node: usize, key: u64, version: u64, removed: bool) {
         if removed {
+            let version = Version(version);
             self.sim.dispatch(node, Event::Remove { key, version });
         } else {
             self.sim.publish(node, key, version, 50);
@@ -180,7 +181,7 @@
             for (key, version) in &newest {
                 assert_eq!(
                     overlay.store().version(*key),
-                    *version,
+                    Version(*version),
                     "seed {seed}: node {at}, key {key}"
                 );
             }
--- a/crates/overlay/tests/overlay/support/delivery.rs
+++ b/crates/overlay/tests/overlay/support/delivery.rs
@@ -157,7 +157,7 @@
                     self.notify_closed(node, index(to), connection);
                 }
             }
-            Action::Changed { key, version, .. } => self.changed(node, key, version),
+            Action::Changed { key, version, .. } => self.changed(node, key, version.0),
             Action::Timer(at) => {
                 self.nodes[node].timer = Some(at);
                 self.schedule(at, NetworkEvent::Timer { node });
--- a/crates/overlay/tests/overlay/support/simulation.rs
+++ b/crates/overlay/tests/overlay/support/simulation.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use ironmast_overlay::{Descriptor, Event, Message, Overlay, Settings};
+use ironmast_overlay::{Descriptor, Event, Message, Overlay, Settings, Version};
 use rand::{RngExt as _, SeedableRng as _};
 use rand_xoshiro::Xoshiro256PlusPlus;
 
@@ -191,7 +191,7 @@
             node,
             Event::Publish {
                 key,
-                version,
+                version: Version(version),
                 payload,
             },
         );
