--- a/crates/balancer/src/balance.rs
+++ b/crates/balancer/src/balance.rs
@@ -9,6 +9,7 @@
 mod attempts;
 mod capacity;
 mod health;
+mod probing;
 mod requests;
 mod selection;
 
--- a/crates/balancer/src/balance/health.rs
+++ b/crates/balancer/src/balance/health.rs
@@ -1,14 +1,12 @@
-//! What outcomes, probes and their absence say of servers: outlier ejection, and the failure detector
-//! for zones.
+//! What the outcomes of attempts say of servers: outlier ejection, and the maintenance of what was
+//! measured.
 
 use super::capacity::{LimitEvidence, update_limit};
 use super::{Balancer, RATE_DECAY_TIME};
-use crate::api::{Action, AttemptEnded, ClassId, Micros, Outcome, Phase, ServerId};
-use crate::failure_detector::Liveness;
+use crate::api::{Action, AttemptEnded, ClassId, Micros, Outcome, Phase};
 use crate::fleet::Load;
 use crate::locality::Locality;
 use crate::node::{EjectionTime, Node};
-use crate::open_request::Attempt;
 
 /// Time constant of a server's slowness, in microseconds.
 const SLOWNESS_DECAY_TIME: f64 = 10_000_000.0;
@@ -22,9 +20,6 @@
 const EJECTION_MARGIN: f64 = 0.25;
 /// Failure rate below which an earlier ejection no longer lengthens the next.
 const RECOVERED_FAILURE_RATE: f64 = 0.05;
-/// A server is probed when a response is overdue by the 0.9 quantile, or for this many maintenance
-/// intervals.
-const PROBE_AFTER_RUNS: f64 = 5.0;
 /// Time of an ejection before a trial request, in microseconds; doubled at each failed trial.
 pub(super) const EJECTION_TIME: EjectionTime = EjectionTime {
     first: 1_000_000,
@@ -118,77 +113,6 @@
         }
     }
 
-    /// A health check ended. An answer ends an ejection, on probation: it shows that the server is
-    /// reachable, not that it serves. Without one the server is ejected, longer each time.
-    pub(super) fn probe_ended(
-        &mut self,
-        server: ServerId,
-        outcome: Outcome,
-        latency: Micros,
-        actions: &mut Vec<Action>,
-    ) {
-        let now = self.now;
-        let is_reachable = matches!(outcome, Outcome::Ok | Outcome::Overloaded);
-        // Guards against returning late to a zone of which nothing is usable.
-        let node = self.fleet.get(server);
-        let is_zone_down = node.is_some_and(|node| self.fleet.zone(node.server.zone).healthy == 0);
-        let longest = if is_zone_down {
-            2 * EJECTION_TIME.first
-        } else {
-            EJECTION_TIME.longest
-        };
-        self.fleet.change(server, |node| {
-            if !is_reachable {
-                let since = node.ejected.map_or(now, |ejection| ejection.since);
-                let first = EJECTION_TIME.first;
-                node.eject(since, now, &EjectionTime { first, longest });
-            } else if node.ejected.take().is_some() {
-                node.failure_rate = EJECTION_THRESHOLD / 2.0;
-            }
-        });
-        let is_alive = is_reachable || Liveness::of(outcome, latency) == Some(Liveness::Alive);
-        let liveness = if is_alive {
-            Liveness::Alive
-        } else {
-            Liveness::Unanswered
-        };
-        self.record_liveness(server, liveness, actions);
-    }
-
-    /// A server gave a sign of life, or none when one was due. An unreachable zone is not usable until
-    /// one of its servers gives a sign of life; attempts in flight there are cancelled if a retry is safe and of use.
-    pub(super) fn record_liveness(
-        &mut self,
-        server: ServerId,
-        liveness: Liveness,
-        actions: &mut Vec<Action>,
-    ) {
-        let detector = &mut self.failure_detector;
-        let finding = detector.record(&self.fleet, server, liveness, self.now, &mut self.rng);
-        actions.extend(finding.log.map(Action::Log));
-        actions.extend(probes(finding.probe));
-        // All requests are checked only without a sign: responses are many.
-        if liveness == Liveness::Unanswered && self.settings.limits.cancel {
-            self.cancel_stranded_attempts(server, actions);
-        }
-    }
-
-    /// Cancels attempts at an unreachable server or zone where a retry is safe and of use.
-    fn cancel_stranded_attempts(&self, server: ServerId, actions: &mut Vec<Action>) {
-        let is_unreachable = |attempt: &Attempt| {
-            attempt.server == server || self.failure_detector.is_unreachable(attempt.zone)
-        };
-        for (&id, open) in &self.open_requests {
-            let class = &self.settings.classes[open.request.class];
-            let usual = self.latencies[open.request.class].median as Micros;
-            if self.now + usual < open.target_at {
-                let limits = &self.settings.limits;
-                let stranded = open.stranded_attempt(class, limits, is_unreachable);
-                actions.extend(stranded.map(|attempt| Action::Cancel { id, attempt }));
-            }
-        }
-    }
-
     /// Decays the measurements of servers, closes idle connections, and probes servers whose ejection
     /// is over.
     pub(super) fn maintain_servers(&mut self, actions: &mut Vec<Action>) {
@@ -215,24 +139,6 @@
             }
         });
     }
-
-    /// Probes servers of zones from which responses are overdue, or that are unreachable.
-    pub(super) fn probe_silent_zones(&mut self, actions: &mut Vec<Action>) {
-        if !self.settings.limits.probes {
-            return;
-        }
-        let longest = PROBE_AFTER_RUNS * self.maintenance_interval as f64;
-        let quantiles = self.latencies.iter().map(|latency| latency.high);
-        let overdue = quantiles.fold(longest, f64::min) as Micros;
-        let detector = &mut self.failure_detector;
-        let due = detector.due_probes(&self.fleet, self.now, overdue, &mut self.rng);
-        actions.extend(probes(due));
-    }
-}
-
-fn probes(servers: Vec<ServerId>) -> impl Iterator<Item = Action> {
-    let probe = |server| Action::Probe { server };
-    servers.into_iter().map(probe)
 }
 
 /// Updates a server's failure rate and ends or starts its ejection; returns whether it starts.
