--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -104,16 +104,10 @@
     /// Takes over the seeds, the zone and the region of the settings file; an invalid one changes
     /// nothing.
     fn reload(&self) {
-        let settings = match Settings::from_environment() {
-            Ok(settings) => settings,
-            Err(error) => {
-                warn!(
-                    self.log,
-                    "cannot reload the settings, keeping the current ones"; "error" => %error
-                );
-                return;
-            }
-        };
+        let settings = Settings::from_environment().inspect_err(|error| {
+            warn!(self.log, "cannot reload the settings, keeping the current ones"; "error" => %error);
+        });
+        let Ok(settings) = settings else { return };
         self.overlay.set_seeds(&settings);
         let mut state = self.state.borrow_mut();
         state.add_coordinators(&settings.seed_coordinators());
--- a/crates/coordinator/src/event_loop.rs
+++ b/crates/coordinator/src/event_loop.rs
@@ -129,16 +129,10 @@
 
     /// Reads the seeds from the settings again; invalid settings change nothing.
     fn reload_seeds(&self) {
-        let settings = match Settings::from_environment() {
-            Ok(settings) => settings,
-            Err(error) => {
-                warn!(
-                    self.log,
-                    "cannot reload the settings, keeping the current ones"; "error" => %error
-                );
-                return;
-            }
-        };
+        let settings = Settings::from_environment().inspect_err(|error| {
+            warn!(self.log, "cannot reload the settings, keeping the current ones"; "error" => %error);
+        });
+        let Ok(settings) = settings else { return };
         self.overlay.set_seeds(&settings);
         self.links.connect(&settings.seed_coordinators());
         info!(self.log, "settings reloaded");
--- a/crates/gate/src/limits.rs
+++ b/crates/gate/src/limits.rs
@@ -24,7 +24,7 @@
 
 /// The longest time until the other gates know of one that has started, and use smaller shares. It
 /// uses none of the retry budget's burst until they have done so for a window.
-const MAX_GATE_NEWS_DELAY: Duration = Duration::from_secs(2);
+const MAX_GATE_DISCOVERY_DELAY: Duration = Duration::from_secs(2);
 
 /// This gate's share of the warm-up limits and the retry budgets.
 pub(crate) struct Limits {
@@ -66,7 +66,7 @@
         let retry = ironmast_limits::RetryBudget::with_even_share(
             retry_settings(bounds),
             divisor,
-            started + MAX_GATE_NEWS_DELAY,
+            started + MAX_GATE_DISCOVERY_DELAY,
         );
         Limits {
             overshoot: bounds.warmup_overshoot,
