Tests: owners of agent's and coordinator's tasks, a rejected health check, free ports once

Each of the two owners' tests fails where the listener is spawned without owner. No program code but test modules changes.

--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -129,3 +129,6 @@
         self.overlay.leave();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/client-proxy/src/upstream/health_check.rs
+++ b/crates/client-proxy/src/upstream/health_check.rs
@@ -81,3 +81,6 @@
         })
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/coordinator/src/event_loop.rs
+++ b/crates/coordinator/src/event_loop.rs
@@ -153,3 +153,6 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/fault-injection/src/lib.rs
+++ b/crates/fault-injection/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod expectations;
 pub mod failing_server;
 pub mod fault;
+pub mod free_ports;
 pub mod full_backlog;
 pub mod load;
 pub mod process;
--- a/crates/ironmast/tests/system/mod.rs
+++ b/crates/ironmast/tests/system/mod.rs
@@ -7,13 +7,13 @@
 pub(crate) mod server;
 
 use std::fs::{self, File};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
-use std::ops::Range;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::{Duration, Instant};
 
+use ironmast_fault_injection::free_ports::first_of_free_ports;
 use rustix::process::{Pid, Signal, kill_process};
 use tempfile::TempDir;
 
@@ -25,9 +25,6 @@
 const CONTACT_TIMEOUT_DIVISOR: u128 = 3;
 /// The number of consecutive ports that a site needs.
 const PORTS: u16 = 10;
-/// Where the ports of sites are: below the system's own choice (`ip_local_port_range`, from 32,768
-/// on), as it gives those to any connection at 127.0.0.1, and keeps them for a minute after it.
-const PORT_RANGE: Range<u16> = 10_000..32_000;
 /// Keeps apart where the searches of processes begin.
 const SITES_PER_PROCESS: usize = 37;
 /// The offset of the port at which an agent serves its gate, the only one at 127.0.0.1.
@@ -66,23 +63,6 @@
     contact_timeout: Option<Duration>,
 }
 
-/// The first of [`PORTS`] consecutive ports that are free at the test's own address, and of which
-/// the one for an agent's gate is free at 127.0.0.1 too. `start` determines where the search begins.
-fn first_of_free_ports(ip: IpAddr, start: usize) -> Option<u16> {
-    let candidates = PORT_RANGE.step_by(usize::from(PORTS));
-    let count = candidates.len();
-    let mut candidates = candidates.cycle().skip(start % count).take(count);
-    candidates.find(|&first| {
-        let mut ports = first..first + PORTS;
-        is_free(Ipv4Addr::LOCALHOST.into(), first + FEED_OFFSET)
-            && ports.all(|port| is_free(ip, port))
-    })
-}
-
-fn is_free(ip: IpAddr, port: u16) -> bool {
-    TcpListener::bind((ip, port)).is_ok()
-}
-
 impl Site {
     /// A site whose seeds are the first `coordinators` machines.
     pub(crate) fn new(coordinators: u8) -> Self {
@@ -101,7 +81,9 @@
         };
         let process = std::process::id() as usize;
         let start = process * SITES_PER_PROCESS + usize::from(network[1]);
-        site.port = first_of_free_ports(site.ip(1), start).expect("free ports");
+        // The agent of a machine serves its gate at 127.0.0.1.
+        let addresses = [site.ip(1), Ipv4Addr::LOCALHOST.into()];
+        site.port = first_of_free_ports(&addresses, PORTS, start).expect("free ports");
         site.seeds = (1..=coordinators)
             .map(|number| site.control_plane(number))
             .collect();
