--- a/crates/ironmast/tests/faults.rs
+++ b/crates/ironmast/tests/faults.rs
@@ -119,6 +119,7 @@
     let mut kills = Vec::new();
     let reports = deployment.run_load(&load(ORDER_PATH, 40.0, 6.0), |deployment| {
         for proxy in 0..3 {
+            // The load is open loop: the times of the kills are part of the scenario.
             std::thread::sleep(Duration::from_millis(1200));
             kills.push(kill_and_restart(deployment, proxy));
         }
@@ -165,6 +166,7 @@
 fn a_paused_proxy_serves_the_requests_of_its_backlog_when_it_continues() {
     let mut deployment = deployment(2, 1, vec![]);
     let reports = deployment.run_load(&load(BALANCE_PATH, 30.0, 3.0), |deployment| {
+        // The load is open loop: the times of the pause are part of the scenario.
         std::thread::sleep(Duration::from_millis(800));
         signal(deployment, 0, ProcessSignal::Stop);
         std::thread::sleep(Duration::from_millis(700));
--- a/crates/ironmast/tests/operations.rs
+++ b/crates/ironmast/tests/operations.rs
@@ -29,6 +29,7 @@
         while let Some(head) = head(&mut reader) {
             if !head.contains("/stats") {
                 asked.fetch_add(1, Ordering::SeqCst);
+                // The time that the server works on a request.
                 std::thread::sleep(Duration::from_millis(5));
             }
             let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
@@ -389,6 +390,8 @@
         while let Some(head) = head(&mut reader) {
             if head.to_ascii_lowercase().contains("x-txn: held") {
                 seen.fetch_add(1, Ordering::SeqCst);
+                // The time that the server works on it, long enough for the second one to be
+                // answered meanwhile.
                 std::thread::sleep(Duration::from_millis(800));
             }
             if (&stream)
--- a/crates/membership/tests/swim.rs
+++ b/crates/membership/tests/swim.rs
@@ -3,13 +3,19 @@
 
 use std::time::Duration;
 
-use ironmast_membership::simulation::{SimulatedCluster, address, lossless};
+use ironmast_membership::simulation::{DownEvent, SimulatedCluster, address, lossless};
 use ironmast_membership::{MAX_DATAGRAM_BYTES, PROTOCOL_TAG};
 
 fn secs(seconds: u64) -> Duration {
     Duration::from_secs(seconds)
 }
 
+/// How often a member that was alive was declared down.
+fn false_downs(cluster: &SimulatedCluster) -> usize {
+    let of_alive = |down: &&DownEvent| cluster.is_alive(&down.member);
+    cluster.downs.iter().filter(of_alive).count()
+}
+
 #[test]
 fn undisturbed_cluster_is_complete_within_two_seconds() {
     let mut cluster = SimulatedCluster::new(5);
@@ -102,11 +108,7 @@
     assert_eq!(cluster.cluster_sizes(), vec![8; 8]);
     // A member that refuted a suspicion continues under its next incarnation; that the old one is
     // declared down is no false positive.
-    let false_downs = cluster
-        .downs
-        .iter()
-        .filter(|down| cluster.is_alive(&down.member))
-        .count();
+    let false_downs = false_downs(&cluster);
     let renewed = cluster
         .members
         .iter()
@@ -164,11 +166,7 @@
     cluster.run(secs(60), &bursts);
     cluster.run(secs(20), &lossless);
     assert_eq!(cluster.cluster_sizes(), vec![8; 8]);
-    let false_downs = cluster
-        .downs
-        .iter()
-        .filter(|down| cluster.is_alive(&down.member))
-        .count();
+    let false_downs = false_downs(&cluster);
     eprintln!("8 members, bursts of 30 % loss for 60 s: {false_downs} alive members declared down");
 }
 
