--- a/crates/keyed-ownership/src/owner/tests.rs
+++ b/crates/keyed-ownership/src/owner/tests.rs
@@ -231,9 +231,12 @@
 fn a_misrouted_request_leaves_no_pool() {
     let mut owner = active_owner();
     let misrouted = PermitRequest {
-        token: token(2),
+        token: FencingToken {
+            owner: gate(2),
+            ..token(1)
+        },
         ..request(3, 1, 1)
     };
-    assert_eq!(counts_for(&mut owner, ms(11_000), misrouted), [0]);
+    assert_eq!(counts_for(&mut owner, ms(10_000), misrouted), [0]);
     assert!(owner.pools.is_empty());
 }
