--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -16,13 +16,14 @@
 const FROZEN: u8 = 1;
 const EVACUATION: Duration = Duration::from_millis(5_000);
 const CONTACT: Duration = Duration::from_millis(5_000);
-const ROUNDS: u32 = 8;
+const ROUNDS: u32 = 11;
+/// No round is begun after this many seconds.
+const LAST_ROUND_S: f64 = 103.0;
 
 fn main() {
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::create("review/2/record.txt");
-    let status = run(trouble, &record);
-    std::process::exit(status);
+    finish(move || run(trouble, &record));
 }
 
 fn run(trouble: bool, record: &Record) -> i32 {
@@ -46,17 +47,17 @@
             let id = format!("i-desk-{zone}-{number}");
             servers.push(start_server(&id, "ironmast-desk", zone, site.ip(6), |_, _| {}));
         }
-        let arrivals = Arc::clone(&arrivals);
+        let (arrivals, record) = (Arc::clone(&arrivals), record.clone());
         let id = format!("i-stub-{zone}");
-        let serve = move |server: Arc<Server>, stream| serve(&server, stream, &arrivals);
+        let serve = move |server: Arc<Server>, stream| serve(&server, stream, &arrivals, &record);
         servers.push(start_server(&id, "paystub-api", zone, site.ip(6), serve));
     }
 
     let route = r#"{"name":"stub-fetch","hostname":"ficu95.example","path_prefix":"/lohu930/","type":"unsafe","timeout_ms":2500,"target_latency_ms":400,"priority":2,"backend":"paystub-api","max_attempts":1,"session_affinity":false,"resumable":false,"allowed_regions":[]}"#;
     let services = r#"{"name":"paystub-api","health_check":"/healthz","max_connections":100,"protocol":"h1","tls":false,"warmup_s":0.0,"warmup_per_s":0.0},{"name":"ironmast-desk","health_check":"/healthz","max_connections":360,"protocol":"h1","tls":false,"warmup_s":0.0,"warmup_per_s":0.0}"#;
-    // 40 routes more, as operators keep them.
+    // 250 routes more (`big_config` of the site: 350).
     let routes = || {
-        let more = (0..40).map(|n| route.replace("stub-fetch", &format!("idle-{n}")).replace("lohu930", &format!("idle{n}")));
+        let more = (0..250).map(|n| route.replace("stub-fetch", &format!("idle-{n}")).replace("lohu930", &format!("idle{n}")));
         more.chain([route.to_string()]).collect::<Vec<_>>().join(",")
     };
     let body = configuration(2, &routes(), services);
@@ -76,8 +77,8 @@
     // 20 requests a second from four clients that keep their connections, and 31 clients that ask
     // for addresses whenever the last answer is over, the coordinator of their own zone first.
     for client in 0..4 {
-        let (to, ended) = (site.frontend(edge.number), Arc::clone(&ended));
-        thread::spawn(move || send_requests(client, to, &ended));
+        let (to, ended, record) = (site.frontend(edge.number), Arc::clone(&ended), record.clone());
+        thread::spawn(move || send_requests(client, to, &ended, &record));
     }
     for client in 0..31_usize {
         let near = [0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 1, 1, 1, 1, 1, 1, 1, 1, 1, 1][..].get(client).copied().unwrap_or(2);
@@ -96,6 +97,9 @@
     let status = |answer: Option<Message>| answer.map_or(0, |answer| answer.status());
     let mut broken = 0;
     for round in 1..=ROUNDS {
+        if record.now() > LAST_ROUND_S {
+            break;
+        }
         record.say(&format!("round {round}: the zone {ZONE} is evacuated"));
         if status(order(record, &first(2), "POST", &path, &[], b"")) != 200 {
             could_not_run("the first evacuation is not acknowledged");
@@ -189,6 +193,7 @@
     server: &Server,
     mut stream: TcpStream,
     arrivals: &Mutex<Vec<(Instant, &'static str, String)>>,
+    record: &Record,
 ) {
     let mut buffer = Vec::new();
     while let Some(request) = read_message(&mut stream, &mut buffer) {
@@ -201,6 +206,7 @@
             format!("HTTP/1.1 421 Misdirected Request\r\nX-Ironmast-Request-Id: {id}\r\nX-Ironmast-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
         } else {
             arrivals.lock().unwrap().push((Instant::now(), server.zone, id.clone()));
+            record.line(&format!("server {} runs request {id}", server.id));
             sleep_ms(30);
             format!("HTTP/1.1 200 OK\r\nX-Ironmast-Request-Id: {id}\r\nX-Ironmast-Server-Signature: {}.1\r\nContent-Length: 4\r\n\r\nstub", server.id)
         };
@@ -210,7 +216,7 @@
     }
 }
 
-fn send_requests(client: u64, to: SocketAddr, ended: &AtomicBool) {
+fn send_requests(client: u64, to: SocketAddr, ended: &AtomicBool, record: &Record) {
     let mut number = 0;
     while !ended.load(Ordering::SeqCst) {
         let Ok(mut stream) = TcpStream::connect(to) else { return };
@@ -224,10 +230,14 @@
                 ("X-Ironmast-Request-Id", id.as_str()),
                 ("X-Ironmast-Deadline-Ms", "2500"),
             ];
+            record.line(&format!("client {client} sends request {id}"));
             if write_request(&mut stream, "POST", "/lohu930/2f", &headers, b"stub 1").is_err() {
                 break;
             }
-            let Some(answer) = read_message(&mut stream, &mut buffer) else { break };
+            let answer = read_message(&mut stream, &mut buffer);
+            let status = answer.as_ref().map_or("no answer".into(), |answer| answer.status().to_string());
+            record.line(&format!("client {client} gets {status} for request {id}"));
+            let Some(answer) = answer else { break };
             sleep_ms(170);
             if answer.header("connection").is_some_and(|value| value.eq_ignore_ascii_case("close")) {
                 break;
--- a/review/common/common.rs
+++ b/review/common/common.rs
@@ -7,6 +7,7 @@
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::PathBuf;
+use std::os::unix::process::CommandExt as _;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -15,7 +16,15 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: i32 = 9;
+/// A script that takes longer than this ends itself.
+const TIME_LIMIT: Duration = Duration::from_secs(116);
+/// The processes that run, and the temporary folder, for a script that ends early.
+static STARTED: Mutex<Vec<i32>> = Mutex::new(Vec::new());
+static FOLDER: Mutex<Option<PathBuf>> = Mutex::new(None);
 pub const SIGHUP: i32 = 1;
 pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
@@ -96,6 +105,11 @@
         let network = [100 + (seed % 100) as u8, 1 + (seed >> 8) as u8 % 250];
         let folder = std::env::temp_dir().join(format!("ironmast-review-{}", std::process::id()));
         fs::create_dir_all(&folder).expect("a temporary folder");
+        *FOLDER.lock().unwrap() = Some(folder.clone());
+        thread::spawn(|| {
+            thread::sleep(TIME_LIMIT);
+            could_not_run("it took too long");
+        });
         let ip = |n: u8| Ipv4Addr::new(127, network[0], network[1], n);
         let mut port = 20_000 + (seed >> 16) as u16 % 10_000;
         loop {
@@ -207,7 +221,15 @@
             .append(true)
             .open(self.folder.join(format!("{role}-{number}.log")))
             .expect("a log");
-        let child = Command::new("target/system/ironmast")
+        let mut command = Command::new("target/system/ironmast");
+        // The process ends with the script, however that ends.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
+        let child = command
             .arg(role)
             .env("IRONMAST_CONFIG", &path)
             .stdin(Stdio::null())
@@ -215,6 +237,7 @@
             .stderr(log)
             .spawn()
             .unwrap_or_else(|error| could_not_run(&format!("target/system/ironmast: {error}")));
+        STARTED.lock().unwrap().push(child.id() as i32);
         self.processes.insert((role.to_string(), number), child);
     }
 
@@ -229,6 +252,7 @@
     /// SIGKILL, and waits for the end.
     pub fn kill(&mut self, role: &str, number: u8) {
         if let Some(mut child) = self.processes.remove(&(role.to_string(), number)) {
+            STARTED.lock().unwrap().retain(|pid| *pid != child.id() as i32);
             let _ = (child.kill(), child.wait());
         }
     }
@@ -246,6 +270,7 @@
 
 impl Drop for Site {
     fn drop(&mut self) {
+        STARTED.lock().unwrap().clear();
         for child in self.processes.values_mut() {
             let _ = (child.kill(), child.wait());
         }
@@ -253,11 +278,23 @@
     }
 }
 
+/// Ends the script with status 2, and all that it has started.
 pub fn could_not_run(why: &str) -> ! {
     eprintln!("the case could not run: {why}");
+    for pid in STARTED.lock().unwrap().iter() {
+        unsafe { kill(*pid, SIGKILL) };
+    }
+    if let Some(folder) = FOLDER.lock().unwrap().as_ref() {
+        let _ = fs::remove_dir_all(folder);
+    }
     std::process::exit(2);
 }
 
+/// Runs a case and ends the script with its status; 2 after a panic.
+pub fn finish(case: impl FnOnce() -> i32 + std::panic::UnwindSafe) -> ! {
+    std::process::exit(std::panic::catch_unwind(case).unwrap_or(2));
+}
+
 /// The head of an HTTP message and its body.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
