Coordinator: an order for a zone is executed only while its caller waits

Cause: an order carries nothing that tells a late copy from a new one, and the coordinator executed whatever it read from its sockets, although the caller had closed the connection and sent the order elsewhere.

A caller closes a copy's connection before it sends a newer order, so a copy that is applied precedes the newer order.

--- a/crates/coordinator/src/api.rs
+++ b/crates/coordinator/src/api.rs
@@ -20,11 +20,12 @@
 use crate::command::Command;
 use crate::directory::ConfigurationParser;
 use crate::resolve;
-use crate::value::{ConfigurationDocument, ZoneState};
+use crate::value::ConfigurationDocument;
 
 use reply::Reply;
 
 pub(crate) mod reply;
+mod zone_orders;
 
 /// Maximum size of a request body, in bytes.
 const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
@@ -69,6 +70,9 @@
     let server = HttpServer::new(app)
         .workers(1)
         .disable_signals()
+        .on_connect(zone_orders::record_accept)
+        // A handler ends when its caller closes the connection; orders for zones rely on that.
+        .h1_allow_half_closed(false)
         .shutdown_timeout(2);
     let server = server
         .bind(address)
@@ -88,8 +92,14 @@
         .route("/api/instances/{id}", web::delete().to(deregister))
         .route("/api/config", web::put().to(configure))
         .route("/api/config", web::get().to(read_configuration))
-        .route("/api/evacuate/{zone}", web::post().to(evacuate))
-        .route("/api/evacuate/{zone}", web::delete().to(restore));
+        .route(
+            "/api/evacuate/{zone}",
+            web::post().to(zone_orders::evacuate),
+        )
+        .route(
+            "/api/evacuate/{zone}",
+            web::delete().to(zone_orders::restore),
+        );
 }
 
 fn directory_routes(routes: &mut ServiceConfig) {
@@ -179,23 +189,6 @@
     submit(&commands, |reply| Command::ReadConfiguration { reply }).await
 }
 
-async fn evacuate(commands: Data<Commands>, zone: Path<String>) -> HttpResponse {
-    set_zone_state(&commands, zone, ZoneState::Evacuated).await
-}
-
-async fn restore(commands: Data<Commands>, zone: Path<String>) -> HttpResponse {
-    set_zone_state(&commands, zone, ZoneState::InService).await
-}
-
-async fn set_zone_state(commands: &Commands, zone: Path<String>, state: ZoneState) -> HttpResponse {
-    submit(commands, |reply| Command::SetZoneState {
-        zone: zone.into_inner(),
-        state,
-        reply,
-    })
-    .await
-}
-
 async fn resolve(commands: Data<Commands>, query: Query<resolve::Query>) -> HttpResponse {
     submit(&commands, |reply| Command::Resolve {
         query: query.into_inner(),
--- a/crates/coordinator/src/api/reply.rs
+++ b/crates/coordinator/src/api/reply.rs
@@ -56,6 +56,7 @@
         ChangeError::OutOfContact
         | ChangeError::UnreadableConfiguration
         | ChangeError::NoQuorum
+        | ChangeError::Rejected(Rejection::CallerGone)
         | ChangeError::ContactLost => StatusCode::SERVICE_UNAVAILABLE,
         ChangeError::Unknown | ChangeError::ContactLostAfterApply => StatusCode::GATEWAY_TIMEOUT,
     }
--- a/crates/coordinator/src/api/reply/tests.rs
+++ b/crates/coordinator/src/api/reply/tests.rs
@@ -13,7 +13,8 @@
 fn each_change_outcome_has_its_status_and_text() {
     let mismatch = ChangeError::Rejected(Rejection::VersionMismatch);
     let stale = ChangeError::Rejected(Rejection::StaleGeneration);
-    let table: [(ChangeOutcome, u16, &str); 7] = [
+    let caller_gone = ChangeError::Rejected(Rejection::CallerGone);
+    let table: [(ChangeOutcome, u16, &str); 8] = [
         (Ok(()), 200, "{}"),
         (Err(mismatch), 412, "another version is in place\n"),
         (
@@ -21,6 +22,11 @@
             400,
             "the generation is not above the current one\n",
         ),
+        (
+            Err(caller_gone),
+            503,
+            "the caller has closed the connection\n",
+        ),
         (
             Err(ChangeError::OutOfContact),
             503,
--- a/crates/coordinator/src/command.rs
+++ b/crates/coordinator/src/command.rs
@@ -3,6 +3,7 @@
 use ironmast_schema::registration::Heartbeat;
 use tokio::sync::oneshot;
 
+use crate::caller::Caller;
 use crate::outcome::{ChangeOutcome, ReadOutcome, RegistrationOutcome, ResolveOutcome};
 use crate::resolve::Query;
 use crate::value::{ConfigurationDocument, ZoneState};
@@ -46,6 +47,8 @@
         zone: String,
         /// The new state of the zone.
         state: ZoneState,
+        /// The order is dropped once its caller no longer waits.
+        caller: Caller,
         /// Receives the outcome.
         reply: oneshot::Sender<ChangeOutcome>,
     },
--- a/crates/coordinator/src/lib.rs
+++ b/crates/coordinator/src/lib.rs
@@ -13,10 +13,12 @@
 //! The node composes the replica of the register (`replica`, stored by `record_writer` and
 //! `register_log`, with its value in `value`), the contact with a majority (`contact`), the
 //! configuration in force (`directory`, `resolve`) and the endpoints (`published_endpoints`,
-//! `publisher`). `pending_operations` and `pending_reports` hold the callers that await an outcome.
+//! `publisher`). `pending_operations` and `pending_reports` hold the callers that await an outcome;
+//! `caller` tells whether one still does.
 #![forbid(unsafe_code)]
 
 mod api;
+mod caller;
 mod clock;
 mod command;
 mod contact;
--- a/crates/coordinator/src/node/commands.rs
+++ b/crates/coordinator/src/node/commands.rs
@@ -1,17 +1,19 @@
 //! Commands of HTTP clients: what each does, and when it is acknowledged.
 
-use ironmast_register::Operation;
+use ironmast_register::{Decision, Operation};
 use ironmast_schema::control::{Key, ToCoordinator};
 use ironmast_schema::registration::{Heartbeat, InstanceState};
+use slog::info;
 use tokio::sync::oneshot;
 
 use super::CoordinatorNode;
+use crate::caller::Caller;
 use crate::command::Command;
 use crate::contact::{Request, RequestPolicy};
 use crate::outcome::{
     ChangeError, ChangeOutcome, ReadError, ReadOutcome, RegistrationError, RegistrationOutcome,
 };
-use crate::value::ControlValue;
+use crate::value::{ControlValue, Rejection, ZoneState};
 
 impl CoordinatorNode {
     /// Executes a command. Its outcome is sent at once or later; a caller that has disconnected is
@@ -34,10 +36,14 @@
                     Operation::change(move |value: &ControlValue| value.configure(&document, base));
                 self.change(Request::Configuration, change, reply);
             }
-            Command::SetZoneState { zone, state, reply } => {
-                let change = Operation::change(move |value: &ControlValue| {
-                    value.set_zone_state(&zone, state)
-                });
+            Command::SetZoneState {
+                zone,
+                state,
+                caller,
+                reply,
+            } => {
+                info!(self.log, "order for a zone"; "zone" => &zone, "state" => ?state);
+                let change = zone_change(zone, state, caller);
                 self.change(Request::Evacuation, change, reply);
             }
             Command::ReadConfiguration { reply } => self.read(reply),
@@ -143,3 +149,18 @@
         self.check_contact();
     }
 }
+
+/// The change of an order for a zone.
+///
+/// The register may apply it later than it was submitted, and again after a conflict with another
+/// proposer. A caller that has given up may by then have sent the order elsewhere, and a newer one
+/// after it, so each time the change applies only if the caller still waits.
+fn zone_change(zone: String, state: ZoneState, caller: Caller) -> Operation<ControlValue> {
+    Operation::change(move |value: &ControlValue| {
+        if caller.is_waiting() {
+            value.set_zone_state(&zone, state)
+        } else {
+            Decision::Reject(Rejection::CallerGone)
+        }
+    })
+}
--- a/crates/coordinator/src/node/tests.rs
+++ b/crates/coordinator/src/node/tests.rs
@@ -12,8 +12,13 @@
 use ironmast_schema::settings::TimingBounds;
 
 use super::*;
+use crate::caller::Caller;
 use crate::contact::contact_timeout;
-use cluster::{Cluster, body, configure, delete, evacuate, heartbeat, read_configuration, resolve};
+use crate::value::ZoneState;
+use cluster::{
+    Cluster, body, configure, delete, evacuate, heartbeat, read_configuration, resolve,
+    set_zone_state, waiting,
+};
 
 /// Time after which contact is lost and the timer that checks it has run.
 fn contact_loss_time() -> Duration {
@@ -346,3 +351,42 @@
         assert_eq!(cluster.status(number, heartbeat("i", 1, Ready)), 503);
     }
 }
+
+/// Guards against a late copy of an order for a zone that undoes a newer one: the order waits in a
+/// round that is superseded, its caller gives up, and the coordinator proposes it again.
+#[test]
+fn an_order_for_a_zone_is_not_proposed_again_after_its_caller_has_given_up() {
+    let mut cluster = Cluster::new(3);
+    assert_eq!(cluster.status(0, configure(3, 0)), 200);
+    assert_eq!(cluster.status(1, evacuate("z9")), 200);
+    let (guard, caller) = Caller::waiting();
+    cluster.partition(0);
+    let mut late = cluster.submit(0, set_zone_state("z9", ZoneState::InService, caller));
+    drop(guard);
+    assert_eq!(
+        cluster.status(1, set_zone_state("z9", ZoneState::InService, waiting())),
+        200
+    );
+    assert_eq!(cluster.status(1, evacuate("z9")), 200);
+    cluster.partitions.clear();
+    cluster.run(Duration::from_millis(600));
+    late.try_recv().expect("its outcome is known");
+    for member in &cluster.members {
+        assert_eq!(member.published_evacuations(), ["z9"]);
+    }
+}
+
+/// Guards against an order that was read after its caller had given it up, as after a pause.
+#[test]
+fn an_order_for_a_zone_whose_caller_is_gone_changes_nothing() {
+    let mut cluster = Cluster::new(3);
+    assert_eq!(cluster.status(0, configure(3, 0)), 200);
+    assert_eq!(cluster.status(1, evacuate("z9")), 200);
+    let (guard, caller) = Caller::waiting();
+    drop(guard);
+    let order = set_zone_state("z9", ZoneState::InService, caller);
+    assert_eq!(cluster.status(0, order), 503);
+    for member in &cluster.members {
+        assert_eq!(member.published_evacuations(), ["z9"]);
+    }
+}
--- a/crates/coordinator/src/node/tests/cluster.rs
+++ b/crates/coordinator/src/node/tests/cluster.rs
@@ -16,6 +16,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::api::reply::Reply;
+use crate::caller::Caller;
 use crate::clock::Clock;
 use crate::command::Command;
 use crate::directory::{ConfigurationParser, Directory};
@@ -396,6 +397,18 @@
         })
     }
 
+    /// Names of the evacuated zones published last.
+    pub(super) fn published_evacuations(&self) -> Vec<String> {
+        let entries = self.published.entries.borrow();
+        let mut controls = entries.iter().rev();
+        controls
+            .find_map(|entry| match &entry.value {
+                Value::Control(state) => Some(state.evacuated.clone()),
+                _ => None,
+            })
+            .unwrap_or_default()
+    }
+
     /// Version of the operator's state that was published last.
     pub(super) fn published_control_version(&self) -> Option<u64> {
         let entries = self.published.entries.borrow();
@@ -457,12 +470,29 @@
     move |reply| Command::Resolve { query, reply }
 }
 
+/// A caller that waits for as long as the test runs.
+pub(super) fn waiting() -> Caller {
+    let (guard, caller) = Caller::waiting();
+    std::mem::forget(guard);
+    caller
+}
+
 /// The evacuation of a zone.
 pub(super) fn evacuate(zone: &str) -> impl FnOnce(oneshot::Sender<ChangeOutcome>) -> Command {
+    set_zone_state(zone, ZoneState::Evacuated, waiting())
+}
+
+/// An order for a zone.
+pub(super) fn set_zone_state(
+    zone: &str,
+    state: ZoneState,
+    caller: Caller,
+) -> impl FnOnce(oneshot::Sender<ChangeOutcome>) -> Command + use<> {
     let zone = zone.to_string();
     move |reply| Command::SetZoneState {
         zone,
-        state: ZoneState::Evacuated,
+        state,
+        caller,
         reply,
     }
 }
--- a/crates/coordinator/src/pending_operations/tests.rs
+++ b/crates/coordinator/src/pending_operations/tests.rs
@@ -9,7 +9,11 @@
 
 #[test]
 fn a_rejected_change_completes_with_the_reason_that_the_value_gave() {
-    for rejection in [Rejection::VersionMismatch, Rejection::StaleGeneration] {
+    for rejection in [
+        Rejection::VersionMismatch,
+        Rejection::StaleGeneration,
+        Rejection::CallerGone,
+    ] {
         let mut pending = PendingOperations::default();
         let (reply, _outcome) = oneshot::channel();
         let id = pending.add_change(reply);
--- a/crates/coordinator/src/value.rs
+++ b/crates/coordinator/src/value.rs
@@ -45,6 +45,10 @@
     /// The generation of the new configuration is not above the current one.
     #[error("the generation is not above the current one")]
     StaleGeneration,
+    /// The caller no longer waits, so this may be a late copy of an order that was sent again
+    /// elsewhere. Nobody receives this text.
+    #[error("the caller has closed the connection")]
+    CallerGone,
 }
 
 impl RegisterValue for ControlValue {
