Gate: after a gap in what it hears, a server gets the cold share until a report is dated

Cause: coordinators distribute a heartbeat only if it changes something, so the last report may be of any age and holds only for a gate that has heard of all changes since. A gate took each report as a second old: those of the first frame after a start or a new connection, and those it kept while its agent was down or it was suspended.

During a gap each check that finds it warm allows that share again.

Not covered: an agent that is cut off from the other machines still sends its frames.

--- a/crates/agent/src/entry_table.rs
+++ b/crates/agent/src/entry_table.rs
@@ -27,12 +27,24 @@
             }
         }
         if !updates.is_empty() {
-            self.subscribers
-                .retain(|gate| gate.send(ToGate::Entries(updates.clone())).is_ok());
+            self.broadcast(&updates);
         }
         updates
     }
 
+    /// Sends a keep-alive frame to the subscribers, unless no control state has arrived yet: other
+    /// entries may then be missing as well.
+    pub(crate) fn keep_alive(&mut self) {
+        if self.entries.contains_key(&Key::Control) {
+            self.broadcast(&[]);
+        }
+    }
+
+    fn broadcast(&mut self, entries: &[Entry]) {
+        self.subscribers
+            .retain(|gate| gate.send(ToGate::Entries(entries.to_vec())).is_ok());
+    }
+
     fn is_newer(&self, entry: &Entry) -> bool {
         self.entries
             .get(&entry.key)
--- a/crates/agent/src/gate_link.rs
+++ b/crates/agent/src/gate_link.rs
@@ -17,6 +17,9 @@
 use crate::gate_reporter::ReportedStatus;
 use crate::state::SharedState;
 
+/// Interval of the keep-alive frames. A gate that receives none for three intervals no longer relies
+/// on what it knows of the servers' warm-up.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(500);
 /// Delay after a connection could not be accepted.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(20);
 
@@ -34,9 +37,18 @@
         .await
         .wrap_err_with(|| format!("listening for the gate at {address}"))?;
     tasks.spawn_essential("gate link", accept(Rc::clone(state), listener, log.clone()));
+    tasks.spawn_essential("gate keep-alive", keep_alive(Rc::clone(state)));
     Ok(())
 }
 
+/// Sends keep-alive frames to the gate. Never completes.
+async fn keep_alive(state: SharedState) {
+    loop {
+        tokio::time::sleep(KEEP_ALIVE_INTERVAL).await;
+        state.borrow_mut().entries.keep_alive();
+    }
+}
+
 /// Accepts connections of gates and serves each in a task of its own. Never completes.
 async fn accept(state: SharedState, listener: TcpListener, log: Logger) {
     let sessions = Tasks::new(&log);
--- a/crates/agent/src/state/tests.rs
+++ b/crates/agent/src/state/tests.rs
@@ -51,6 +51,20 @@
     assert_eq!(sent_frames(&mut queue), [vec![]]);
 }
 
+/// A gate takes keep-alives as a sign that it has all entries, so an agent that has just started must
+/// not send them.
+#[test]
+fn keep_alives_are_sent_once_the_control_state_is_known() {
+    let mut state = agent_state();
+    let (gate, mut queue) = mpsc::unbounded_channel();
+    state.entries.subscribe(gate);
+    state.entries.keep_alive();
+    assert_eq!(sent_frames(&mut queue), [vec![]], "the first frame alone");
+    state.merge(vec![control_entry(1)]);
+    state.entries.keep_alive();
+    assert_eq!(sent_frames(&mut queue), [vec![control_entry(1)], vec![]]);
+}
+
 #[test]
 fn consecutive_statuses_leave_versions_for_loss_and_removal() {
     let mut state = agent_state();
--- a/crates/gate/src/feed.rs
+++ b/crates/gate/src/feed.rs
@@ -65,7 +65,9 @@
         let agent = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
         let (mut receiver, mut sender) =
             link::connect::<ToGate, FromGate>(agent, CONNECT_TIMEOUT).await?;
+        self.gate.limits.borrow_mut().begin_feed_gap();
         let (mut last_sent, mut rebuild_at) = (None, None::<Instant>);
+        let mut is_first_frame = true;
         loop {
             let ready = self.gate.is_ready();
             if last_sent != Some(ready) {
@@ -82,6 +84,13 @@
                 }
                 frame = receiver.next() => {
                     let Some(ToGate::Entries(entries)) = frame? else { bail!("the agent at {agent} closed the link") };
+                    // The first frame holds all entries of the agent, which may have none.
+                    let is_keep_alive = entries.is_empty() && !is_first_frame;
+                    is_first_frame = false;
+                    if is_keep_alive {
+                        self.gate.confirm_feed();
+                        continue;
+                    }
                     let events = self.store.merge(self.gate.clock.now(), entries);
                     self.apply_warmup_events(events);
                     rebuild_at.get_or_insert_with(|| Instant::now() + BATCH_WINDOW);
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -151,6 +151,14 @@
         self.status_changed.notify_one();
     }
 
+    /// Records that the agent passes on all changes of the control plane.
+    pub(crate) fn confirm_feed(&self) {
+        let interval = self.settings.borrow().heartbeat_interval_ms * 1_000;
+        self.limits
+            .borrow_mut()
+            .confirm_feed(self.clock.now(), interval);
+    }
+
     /// Lets requests for which no server is listed wait for one, until each server has had time to
     /// send a heartbeat.
     pub(crate) fn begin_server_discovery(&self) {
--- a/crates/gate/src/limits.rs
+++ b/crates/gate/src/limits.rs
@@ -16,6 +16,10 @@
 use ironmast_schema::settings::TimingBounds;
 use rustc_hash::{FxHashMap, FxHashSet};
 
+use report_age::ReportAge;
+
+mod report_age;
+
 /// How long a permit is valid. A request that is written later needs a new permit.
 const PERMIT_LIFETIME: Micros = 40_000;
 /// The retry delay if the warm-up limiter gives none.
@@ -46,7 +50,10 @@
     warmup: FxHashMap<Arc<str>, WarmupLimit>,
     /// The warm-up reports of each incarnation.
     tracker: WarmupTracker<Arc<str>>,
-    /// The incarnations whose warm-up must be queried, because earlier reports are invalid.
+    /// Whether those reports can be dated.
+    report_age: ReportAge,
+    /// The incarnations whose warm-up must be queried, because earlier reports are invalid
+    /// or undated.
     invalidated: FxHashSet<Arc<str>>,
     retry: ironmast_limits::RetryBudget<Arc<str>>,
 }
@@ -79,6 +86,7 @@
             started,
             warmup: FxHashMap::default(),
             tracker: WarmupTracker::default(),
+            report_age: ReportAge::default(),
             invalidated: FxHashSet::default(),
             retry,
         }
@@ -142,6 +150,12 @@
         remaining_ms: f64,
     ) {
         self.record_report(now, instance, to_duration(sent_at), remaining_ms);
+        self.report_age.record_check(instance, sent_at);
+        if remaining_ms <= 0.0 {
+            for limit in self.warmup.values_mut() {
+                limit.limiter.record_warm(to_duration(sent_at), instance);
+            }
+        }
         self.invalidated.remove(instance);
     }
 
@@ -167,18 +181,37 @@
         self.invalidated.insert(instance.clone());
     }
 
+    /// Begins a gap in the feed: the link to the agent has been established anew. Until the next
+    /// [`confirm_feed`](Self::confirm_feed) and one heartbeat, no report can be dated.
+    pub(crate) fn begin_feed_gap(&mut self) {
+        self.report_age.begin_gap();
+    }
+
+    /// Records that the agent passes on all changes; `heartbeat_interval` is that of the servers.
+    pub(crate) fn confirm_feed(&mut self, now: Micros, heartbeat_interval: Micros) {
+        self.report_age.confirm(now, heartbeat_interval);
+    }
+
     /// Returns the incarnations whose warm-up must be queried, and clears the list.
     pub(crate) fn take_invalidated(&mut self) -> Vec<Arc<str>> {
         self.invalidated.drain().collect()
     }
 
-    /// Whether a server is limited because it is warming up; a server without a valid report
-    /// counts as warming up.
+    /// Whether a server is limited because it is warming up; a server without a valid and dated
+    /// report counts as warming up.
     pub(crate) fn is_warming_up(&self, now: Micros, server: &ServerSpec) -> bool {
         self.is_limited(&server.service)
-            && self
+            && (self
                 .tracker
                 .is_warming_up(to_duration(now), &server.instance)
+                || !self.report_age.is_dated(now, &server.instance))
+    }
+
+    /// Requests a health check of a server that is about to be used and whose report is undated.
+    fn query_if_undated(&mut self, now: Micros, server: &ServerSpec) {
+        if self.is_limited(&server.service) && !self.report_age.is_dated(now, &server.instance) {
+            self.invalidated.insert(server.instance.clone());
+        }
     }
 
     /// Drops expired counts, and the state of servers for which `is_known` is false.
@@ -189,6 +222,7 @@
         }
         self.retry.sweep(now);
         self.tracker.retain(|instance| is_known(instance));
+        self.report_age.retain(&is_known);
         self.invalidated.retain(|instance| is_known(instance));
     }
 
@@ -207,6 +241,7 @@
 
 impl Permits for Limits {
     fn try_acquire(&mut self, now: Micros, server: &ServerSpec) -> Result<(), RetryAfter> {
+        self.query_if_undated(now, server);
         let is_warming_up = self.is_warming_up(now, server);
         let Some(WarmupLimit { bound, limiter }) = self.warmup.get_mut(&server.service) else {
             return Ok(());
--- a/crates/gate/src/limits/tests.rs
+++ b/crates/gate/src/limits/tests.rs
@@ -60,9 +60,19 @@
         gate_set(16),
         &[service("cold", 10.0), service("plain", 0.0)],
     );
+    confirm_feed(&mut limits, START - 10 * SECOND, START + 20 * SECOND);
     limits
 }
 
+/// Confirms the feed without a gap from one time to another.
+fn confirm_feed(limits: &mut Limits, from: Micros, until: Micros) {
+    let mut now = from;
+    while now <= until {
+        limits.confirm_feed(now, 1_200_000);
+        now += SECOND / 2;
+    }
+}
+
 fn count_permits(limits: &mut Limits, now: Micros, server: &ServerSpec) -> usize {
     (0..100)
         .take_while(|_| limits.try_acquire(now, server).is_ok())
@@ -207,3 +217,75 @@
         "no limit is set"
     );
 }
+
+/// Guards against a gate that sends its whole share to a cold server after it has started or has
+/// been cut off from its agent: the last report may be from before the server turned cold.
+#[test]
+fn server_whose_report_is_undated_gets_this_gates_share_until_a_health_check() {
+    let mut limits = limits();
+    let (now, server) = (START + 2 * SECOND, server("i", "cold"));
+    limits.record_heartbeat(now, &server.instance, 0.0);
+    limits.begin_feed_gap();
+    limits.record_heartbeat(now, &server.instance, 0.0);
+    assert_eq!(count_permits(&mut limits, now, &server), 1);
+    assert_eq!(limits.take_invalidated(), ["i".into()]);
+    let later = now + 2 * SECOND;
+    limits.confirm_feed(later, 1_200_000);
+    assert_eq!(count_permits(&mut limits, later, &server), 1);
+    limits.record_health_check(later + 10, later + 5, &server.instance, 0.0);
+    assert_eq!(count_permits(&mut limits, later + 10, &server), 100);
+}
+
+#[test]
+fn report_is_dated_by_a_heartbeat_interval_without_a_gap() {
+    let mut limits = limits();
+    let (now, server) = (START + 2 * SECOND, server("i", "cold"));
+    limits.begin_feed_gap();
+    limits.record_heartbeat(now, &server.instance, 0.0);
+    confirm_feed(&mut limits, now, now + 3 * SECOND);
+    assert!(limits.is_warming_up(now + 2 * SECOND, &server));
+    assert!(!limits.is_warming_up(now + 2_200_000, &server));
+}
+
+#[test]
+fn gates_with_undated_reports_stay_within_the_bound_together() {
+    for count in [2, 12] {
+        let members: Vec<_> = (0..count)
+            .map(|gate| GateMember {
+                region: "r".into(),
+                id: GateId(gate),
+            })
+            .collect();
+        let sent: usize = members
+            .iter()
+            .map(|own| {
+                let mut limits = limits();
+                let gates = GateSet::new(own.id, members.clone());
+                limits.update(gates, &[service("cold", 10.0)]);
+                limits.record_heartbeat(START, &"i".into(), 0.0);
+                limits.begin_feed_gap();
+                count_permits(&mut limits, START + 2 * SECOND, &server("i", "cold"))
+            })
+            .sum();
+        assert!((1..=20).contains(&sent), "{count} gates: {sent}");
+    }
+}
+
+/// Without its agent a gate learns of a cold server by health checks alone, and the server may turn cold
+/// right after one.
+#[test]
+fn while_the_agent_is_down_each_health_check_allows_this_gates_share_again() {
+    let mut limits = limits();
+    let (start, server) = (START + 10 * SECOND, server("i", "cold"));
+    limits.record_heartbeat(start, &server.instance, 0.0);
+    limits.begin_feed_gap();
+    for check in 0..3 {
+        let now = start + check * SECOND / 2;
+        limits.record_health_check(now, now, &server.instance, 0.0);
+        assert_eq!(count_permits(&mut limits, now + 1, &server), 1);
+    }
+    let now = start + 3 * SECOND;
+    limits.record_health_check(now, now, &server.instance, 3_000.0);
+    assert_eq!(count_permits(&mut limits, now + 1, &server), 1);
+    assert_eq!(count_permits(&mut limits, now + SECOND, &server), 0);
+}
--- a/crates/limits/src/sliding_window.rs
+++ b/crates/limits/src/sliding_window.rs
@@ -49,6 +49,14 @@
         self.timestamps.len()
     }
 
+    /// Drops the events at or before `time`.
+    pub fn forget_until(&mut self, time: Duration) {
+        let dropped = self
+            .timestamps
+            .partition_point(|timestamp| *timestamp <= time);
+        self.timestamps.drain(..dropped);
+    }
+
     /// The earliest time at which fewer than `limit` events remain in the window; `None` if `limit`
     /// is 0 or fewer events are stored already.
     #[must_use]
--- a/crates/limits/src/slow_start.rs
+++ b/crates/limits/src/slow_start.rs
@@ -12,7 +12,7 @@
 use rustc_hash::FxHashMap;
 
 use crate::error::LimitExceeded;
-use crate::sliding_window::{SlidingLog, send_window};
+use crate::sliding_window::{MAX_DELAY_VARIATION, SlidingLog, send_window};
 
 #[cfg(test)]
 mod tests;
@@ -110,6 +110,14 @@
         self.sent.insert(key.clone(), log);
     }
 
+    /// Records that the server was warm at `time`: requests that have certainly arrived by then no
+    /// longer count.
+    pub fn record_warm(&mut self, time: Duration, key: &K) {
+        if let Some(log) = self.sent.get_mut(key) {
+            log.forget_until(time.saturating_sub(MAX_DELAY_VARIATION));
+        }
+    }
+
     /// Drops the keys to which nothing was sent within the window. Must be called periodically to
     /// bound memory.
     pub fn sweep(&mut self, now: Duration) {
--- a/crates/limits/src/slow_start/tests.rs
+++ b/crates/limits/src/slow_start/tests.rs
@@ -148,3 +148,20 @@
         "a window without the delay variation exceeds the bound"
     );
 }
+
+#[test]
+fn requests_that_arrived_before_the_server_was_seen_warm_do_not_count() {
+    let mut limiter = SlowStartLimiter::with_quota(2, send_window(WINDOW), ms(0));
+    let acquire = |limiter: &mut SlowStartLimiter<char>, at| limiter.try_acquire(ms(at), &'a');
+    assert_matches!(acquire(&mut limiter, 2_000), Ok(()));
+    assert_matches!(acquire(&mut limiter, 2_050), Ok(()));
+    limiter.record_warm(ms(2_099), &'a');
+    assert_matches!(
+        acquire(&mut limiter, 2_100),
+        Err(_),
+        "both may still arrive"
+    );
+    limiter.record_warm(ms(2_149), &'a');
+    assert_matches!(acquire(&mut limiter, 2_150), Ok(()));
+    assert_matches!(acquire(&mut limiter, 2_151), Err(_));
+}
--- a/crates/schema/src/control.rs
+++ b/crates/schema/src/control.rs
@@ -180,7 +180,8 @@
 /// A frame from an agent to a gate on the same machine.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum ToGate {
-    /// Entries that are new or have changed; the first frame of a connection holds all entries.
+    /// Entries that are new or have changed; the first frame of a connection holds all entries. A
+    /// frame without entries is a keep-alive: the agent runs, and passes on all changes.
     Entries(Vec<Entry>),
 }
 
