Gate: after a gap its servers' warm-up is asked for at once, and requests wait for the answer

Change: the agent sends a keep-alive as soon as it has the control state, and to a gate that connects later; at the end of a gap the gate checks the servers of its region at once, others when they are to be used, at most every 200 ms; a request for an undated server waits 50 ms, not 1 s.

--- a/crates/agent/src/entry_table.rs
+++ b/crates/agent/src/entry_table.rs
@@ -29,6 +29,10 @@
         if !updates.is_empty() {
             self.broadcast(&updates);
         }
+        // A gate is told at once that it has the control state, not an interval later.
+        if updates.iter().any(|update| update.key == Key::Control) {
+            self.keep_alive();
+        }
         updates
     }
 
@@ -56,6 +60,7 @@
         // If the gate has already disconnected, the next update removes its subscription.
         let _ = gate.send(ToGate::Entries(self.entries.values().cloned().collect()));
         self.subscribers.push(gate);
+        self.keep_alive();
     }
 
     /// Drops the entries of all deregistered instances if there are more than [`MAX_DEREGISTERED`], so
--- a/crates/agent/src/state/tests.rs
+++ b/crates/agent/src/state/tests.rs
@@ -37,10 +37,9 @@
     for version in [2, 3, 4, 4] {
         state.merge(vec![control_entry(version)]);
     }
-    assert_eq!(
-        sent_frames(&mut queue),
-        [vec![control_entry(3)], vec![control_entry(4)]]
-    );
+    let mut frames = sent_frames(&mut queue);
+    frames.retain(|entries| !entries.is_empty());
+    assert_eq!(frames, [vec![control_entry(3)], vec![control_entry(4)]]);
 }
 
 #[test]
@@ -61,8 +60,15 @@
     state.entries.keep_alive();
     assert_eq!(sent_frames(&mut queue), [vec![]], "the first frame alone");
     state.merge(vec![control_entry(1)]);
-    state.entries.keep_alive();
     assert_eq!(sent_frames(&mut queue), [vec![control_entry(1)], vec![]]);
+    state.entries.keep_alive();
+    assert_eq!(sent_frames(&mut queue), [vec![]]);
+    let (next_gate, mut next_queue) = mpsc::unbounded_channel();
+    state.entries.subscribe(next_gate);
+    assert_eq!(
+        sent_frames(&mut next_queue),
+        [vec![control_entry(1)], vec![]]
+    );
 }
 
 #[test]
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -148,15 +148,32 @@
             .collect();
         self.upstream.retain(|address| addresses.contains(address));
         self.decider.borrow_mut().update_table(now, Arc::new(table));
+        self.query_undated_servers();
         self.status_changed.notify_one();
     }
 
     /// Records that the agent passes on all changes of the control plane.
     pub(crate) fn confirm_feed(&self) {
         let interval = self.settings.borrow().heartbeat_interval_ms * 1_000;
-        self.limits
-            .borrow_mut()
-            .confirm_feed(self.clock.now(), interval);
+        let now = self.clock.now();
+        let ends_gap = self.limits.borrow_mut().confirm_feed(now, interval);
+        if ends_gap {
+            self.query_undated_servers();
+        }
+    }
+
+    /// Queries the warm-up of the region's servers whose reports are undated, before requests for
+    /// them arrive.
+    fn query_undated_servers(&self) {
+        let now = self.clock.now();
+        let region = self.settings.borrow().region.clone();
+        let accepting = self.accepting.borrow();
+        let mut limits = self.limits.borrow_mut();
+        for server in accepting.values() {
+            if *server.region == *region {
+                limits.query_if_undated(now, server);
+            }
+        }
     }
 
     /// Lets requests for which no server is listed wait for one, until each server has had time to
--- a/crates/gate/src/health.rs
+++ b/crates/gate/src/health.rs
@@ -33,8 +33,10 @@
 pub(crate) async fn run(gate: Rc<Gate>) {
     let checks = Tasks::new(&gate.log);
     let mut due = Vec::new();
+    let query_requested = gate.limits.borrow().query_requested();
     for round in 0_u32.. {
-        tokio::time::sleep(CHECK_INTERVAL).await;
+        // A request waits for a query that was requested, so the query is not delayed.
+        let _ = tokio::time::timeout(CHECK_INTERVAL, query_requested.notified()).await;
         gate.decider
             .borrow_mut()
             .due_health_checks(gate.clock.now(), &mut due);
--- a/crates/gate/src/limits.rs
+++ b/crates/gate/src/limits.rs
@@ -6,6 +6,7 @@
 //! the shares; this module keeps the state of one gate and implements the permits and the retry
 //! budget that the routing decisions ask for.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,6 +16,7 @@
 use ironmast_routing::{Micros, Permits, RetryAfter, RetryBudget, ServerSpec, ServiceSpec};
 use ironmast_schema::settings::TimingBounds;
 use rustc_hash::{FxHashMap, FxHashSet};
+use tokio::sync::Notify;
 
 use report_age::ReportAge;
 
@@ -24,6 +26,8 @@
 const PERMIT_LIFETIME: Micros = 40_000;
 /// The retry delay if the warm-up limiter gives none.
 const DEFAULT_RETRY_DELAY: Micros = 1_000_000;
+/// The retry delay for a server whose report is undated: a health check usually dates it by then.
+const UNDATED_RETRY_DELAY: Micros = 50_000;
 /// The longest time that a heartbeat takes from its server to a gate.
 const MAX_HEARTBEAT_DELAY: Duration = Duration::from_secs(1);
 
@@ -55,6 +59,8 @@
     /// The incarnations whose warm-up must be queried, because earlier reports are invalid
     /// or undated.
     invalidated: FxHashSet<Arc<str>>,
+    /// Notified when an incarnation is added for which a request waits.
+    query_requested: Rc<Notify>,
     retry: ironmast_limits::RetryBudget<Arc<str>>,
 }
 
@@ -88,6 +94,7 @@
             tracker: WarmupTracker::default(),
             report_age: ReportAge::default(),
             invalidated: FxHashSet::default(),
+            query_requested: Rc::default(),
             retry,
         }
     }
@@ -188,8 +195,14 @@
     }
 
     /// Records that the agent passes on all changes; `heartbeat_interval` is that of the servers.
-    pub(crate) fn confirm_feed(&mut self, now: Micros, heartbeat_interval: Micros) {
-        self.report_age.confirm(now, heartbeat_interval);
+    /// Returns true if a gap ends.
+    pub(crate) fn confirm_feed(&mut self, now: Micros, heartbeat_interval: Micros) -> bool {
+        self.report_age.confirm(now, heartbeat_interval)
+    }
+
+    /// Completes when an incarnation has been added to those whose warm-up must be queried.
+    pub(crate) fn query_requested(&self) -> Rc<Notify> {
+        Rc::clone(&self.query_requested)
     }
 
     /// Returns the incarnations whose warm-up must be queried, and clears the list.
@@ -207,10 +220,12 @@
                 || !self.report_age.is_dated(now, &server.instance))
     }
 
-    /// Requests a health check of a server that is about to be used and whose report is undated.
-    fn query_if_undated(&mut self, now: Micros, server: &ServerSpec) {
-        if self.is_limited(&server.service) && !self.report_age.is_dated(now, &server.instance) {
+    /// Requests a health check of a server whose report is undated.
+    pub(crate) fn query_if_undated(&mut self, now: Micros, server: &ServerSpec) {
+        if self.is_limited(&server.service) && self.report_age.request_check(now, &server.instance)
+        {
             self.invalidated.insert(server.instance.clone());
+            self.query_requested.notify_one();
         }
     }
 
@@ -246,6 +261,7 @@
         let Some(WarmupLimit { bound, limiter }) = self.warmup.get_mut(&server.service) else {
             return Ok(());
         };
+        let is_undated = !self.report_age.is_dated(now, &server.instance);
         let now = to_duration(now);
         if !is_warming_up {
             // A later report may say that the server is warming up: requests sent until then count.
@@ -256,11 +272,14 @@
         limiter
             .try_acquire_within(now, &server.instance, permits)
             .map_err(|exceeded| {
-                RetryAfter(
-                    exceeded
-                        .retry_delay(now)
-                        .map_or(DEFAULT_RETRY_DELAY, to_micros),
-                )
+                let delay = exceeded
+                    .retry_delay(now)
+                    .map_or(DEFAULT_RETRY_DELAY, to_micros);
+                RetryAfter(if is_undated {
+                    delay.min(UNDATED_RETRY_DELAY)
+                } else {
+                    delay
+                })
             })
     }
 }
--- a/crates/gate/src/limits/report_age.rs
+++ b/crates/gate/src/limits/report_age.rs
@@ -22,6 +22,9 @@
 /// intervals of the agent's keep-alives.
 const FEED_TIMEOUT: Micros = 1_500_000;
 
+/// Time after which a health check is requested again that has not reported the warm-up.
+const CHECK_RETRY_INTERVAL: Micros = 200_000;
+
 /// The gaps in the feed, and the health checks since the last one.
 #[derive(Debug, Default)]
 pub(super) struct ReportAge {
@@ -31,6 +34,8 @@
     resumed_at: Micros,
     /// When a heartbeat of each server that is cold has arrived since the last gap.
     dated_at: Micros,
+    /// When a health check of each incarnation was last requested.
+    requested: FxHashMap<Arc<str>, Micros>,
     /// When the last successful health check of each incarnation was sent.
     checks: FxHashMap<Arc<str>, Micros>,
 }
@@ -42,15 +47,32 @@
     }
 
     /// Records that the agent passes on all changes. After a gap, reports are dated once a server
-    /// has sent a heartbeat, which it does every `heartbeat_interval`.
-    pub(super) fn confirm(&mut self, now: Micros, heartbeat_interval: Micros) {
-        if self.is_interrupted(now) {
+    /// has sent a heartbeat, which it does every `heartbeat_interval`. Returns true if a gap ends.
+    pub(super) fn confirm(&mut self, now: Micros, heartbeat_interval: Micros) -> bool {
+        let ends_gap = self.is_interrupted(now);
+        if ends_gap {
             self.resumed_at = now;
             self.dated_at = now
                 .saturating_add(heartbeat_interval)
                 .saturating_add(to_micros(MAX_HEARTBEAT_DELAY));
         }
         self.confirmed_at = Some(now);
+        ends_gap
+    }
+
+    /// Whether a health check of an incarnation is to be requested now, because its report is undated
+    /// and none was requested recently. Records the request.
+    pub(super) fn request_check(&mut self, now: Micros, instance: &Arc<str>) -> bool {
+        if self.is_dated(now, instance) {
+            return false;
+        }
+        let is_recent = self.requested.get(instance).is_some_and(|at| {
+            now < at.saturating_add(CHECK_RETRY_INTERVAL) && *at >= self.resumed_at
+        });
+        if !is_recent {
+            self.requested.insert(instance.clone(), now);
+        }
+        !is_recent
     }
 
     /// Records a health check that was sent at `sent_at` and has reported the warm-up.
@@ -71,6 +93,7 @@
     /// Drops the checks of incarnations for which `is_known` is false.
     pub(super) fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
         self.checks.retain(|instance, _| is_known(instance));
+        self.requested.retain(|instance, _| is_known(instance));
     }
 
     /// Whether the agent has not confirmed the feed within [`FEED_TIMEOUT`].
--- a/crates/gate/src/limits/report_age/tests.rs
+++ b/crates/gate/src/limits/report_age/tests.rs
@@ -72,3 +72,17 @@
     age.confirm(last, HEARTBEAT);
     assert!(!age.is_dated(last, "i"));
 }
+
+#[test]
+fn a_check_is_requested_again_only_after_an_interval_or_another_gap() {
+    let mut age = confirmed_until(START);
+    assert!(age.request_check(START, &instance()));
+    assert!(!age.request_check(START + CHECK_RETRY_INTERVAL - 1, &instance()));
+    assert!(age.request_check(START + CHECK_RETRY_INTERVAL, &instance()));
+    let later = START + CHECK_RETRY_INTERVAL + 1;
+    age.begin_gap();
+    age.confirm(later, HEARTBEAT);
+    assert!(age.request_check(later, &instance()));
+    age.record_check(&instance(), later);
+    assert!(!age.request_check(later + SECOND, &instance()), "dated");
+}
