Tests: a site holds its ports, so that two that start at once don't share one

Cause: a site searched ten ports that were free and let them go until its processes bound them. Two sites that started at the same moment found the same range (the starts are apart, but a range in use moves the search into the next one's); their agents then served at the same port of 127.0.0.1, and a gate was given the servers of the other site.

Change: a site holds one port of its range at 127.0.0.1, which it does not use, for as long as it exists; a search that loses that port goes on. No check is changed.

--- a/crates/ironmast/tests/system/mod.rs
+++ b/crates/ironmast/tests/system/mod.rs
@@ -7,7 +7,7 @@
 pub(crate) mod server;
 
 use std::fs::{self, File};
-use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU8, Ordering};
@@ -29,6 +29,8 @@
 const SITES_PER_PROCESS: usize = 37;
 /// The offset of the port at which an agent serves its gate, the only port at 127.0.0.1.
 const FEED_OFFSET: u16 = 2;
+/// The offset of the port at 127.0.0.1 that a site holds for as long as it exists.
+const RESERVED_OFFSET: u16 = 9;
 
 /// Evaluates a condition until it yields a value, and returns that; `what` names it in the panic.
 ///
@@ -57,6 +59,9 @@
     directory: TempDir,
     network: [u8; 2],
     port: u16,
+    /// Keeps the ports from another site that starts at the same time. Otherwise both agents would
+    /// serve their gates at the same port of 127.0.0.1.
+    reservation: Option<TcpListener>,
     seeds: Vec<SocketAddr>,
     /// How long a coordinator may reach no majority before its contact counts as lost; `None` for
     /// the 1 s that follows from the default timing bounds.
@@ -76,6 +81,7 @@
             directory: tempfile::tempdir().expect("a directory"),
             network,
             port: 0,
+            reservation: None,
             seeds: vec![],
             contact_timeout: None,
         };
@@ -83,7 +89,13 @@
         let start = process * SITES_PER_PROCESS + usize::from(network[1]);
         // The agent of a machine serves its gate at 127.0.0.1.
         let addresses = [site.ip(1), Ipv4Addr::LOCALHOST.into()];
-        site.port = find_consecutive_free_ports(&addresses, PORTS, start).expect("free ports");
+        (site.port, site.reservation) = (start..)
+            .find_map(|start| {
+                let port = find_consecutive_free_ports(&addresses, PORTS, start)?;
+                let reserved = (Ipv4Addr::LOCALHOST, port + RESERVED_OFFSET);
+                Some((port, Some(TcpListener::bind(reserved).ok()?)))
+            })
+            .expect("free ports");
         site.seeds = (1..=coordinators)
             .map(|number| site.control_plane(number))
             .collect();
