Gate, coordinator: log cut-off responses, aborts at the end and recovered records

The three hypotheses about lost requests could not be told apart by the logs: a gate said nothing when it ended a response before its end, nor how many requests its shutdown aborted, and a coordinator did not say what its disk held.

- Gate, warning: a response was cut off, with the request, the server, the last event and what ended the latest attempt (a time-out, or the server).
- Gate, warning: the number of requests that are aborted at the end of the grace period.
- Coordinator, information: what the disk held of the register at the start, and up to which configuration.

No decision changes.

--- a/crates/coordinator/src/replica.rs
+++ b/crates/coordinator/src/replica.rs
@@ -11,7 +11,7 @@
     Action, Event, Identity, Message, Node, Operation, OperationId, RecordSource, State,
 };
 use ironmast_schema::settings::Settings;
-use slog::{Logger, warn};
+use slog::{Logger, info, warn};
 use tokio::sync::{mpsc, oneshot};
 
 use crate::clock::Clock;
@@ -84,6 +84,7 @@
             recovered,
             completions,
         } = opened;
+        log_recovered(&log, &recovered);
         let source = record_source(recovered, settings);
         let location = NodeLocation {
             address: own,
@@ -262,6 +263,23 @@
     }
 }
 
+/// Logs what the disk holds of the register.
+fn log_recovered(log: &Logger, recovered: &RecoveredRecord) {
+    let (disk, record) = match recovered {
+        RecoveredRecord::Durable(record) => ("durable", Some(record)),
+        RecoveredRecord::NotDurable(record) => ("not durable", Some(record)),
+        RecoveredRecord::Missing => ("empty", None),
+        RecoveredRecord::Corrupted => ("corrupted", None),
+    };
+    let accepted = record.and_then(|record| record.accepted.as_ref());
+    let state = accepted.map(|proposal| &proposal.state);
+    info!(
+        log, "recovered the register's record"; "disk" => disk,
+        "sequence" => state.map(|state| state.sequence),
+        "configuration" => state.map(|state| state.value.generation())
+    );
+}
+
 /// Selects the state that the protocol node starts from. `bootstrap` applies only to a disk that
 /// has never held a record.
 fn record_source(recovered: RecoveredRecord, settings: &Settings) -> RecordSource<ControlValue> {
--- a/crates/gate/src/drain.rs
+++ b/crates/gate/src/drain.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use ironmast_transport::listener::{IdleConnections, Listener, Service};
-use slog::info;
+use slog::{info, warn};
 
 use crate::gate::Gate;
 
@@ -28,6 +28,10 @@
     };
     // Requests still in progress at the deadline are aborted when the gate stops.
     let _ = tokio::time::timeout_at(gate.clock.at(deadline).into(), finish).await;
+    let aborted = gate.requests_in_progress.count();
+    if aborted > 0 {
+        warn!(gate.log, "aborting the requests still in progress at the end of the grace period"; "requests" => aborted);
+    }
     info!(gate.log, "stopped");
 }
 
--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -12,9 +12,11 @@
 mod watch;
 
 use std::rc::Rc;
+use std::time::Instant;
 
 use actix_http::StatusCode;
 use ironmast_routing::{Decision, Dispatch, Micros, Outcome, Request};
+use slog::warn;
 use tokio::sync::oneshot;
 
 use crate::attempt::implies_not_executed;
@@ -39,6 +41,7 @@
         let mut limits = gate.limits.borrow_mut();
         gate.decider.borrow_mut().begin(now, request, &mut *limits)
     };
+    let in_progress = gate.requests_in_progress.start();
     let mut exchange = Exchange {
         gate,
         forwarded,
@@ -47,6 +50,8 @@
         saved: None,
         instance: None,
         last_event,
+        truncation_cause: None,
+        _in_progress: in_progress,
     };
     exchange.execute(decision).await;
 }
@@ -110,16 +115,25 @@
                 StatusCode::from_u16(*status).unwrap_or(StatusCode::BAD_GATEWAY),
             ),
             // Dropping the exchange aborts a response that has not finished.
-            Decision::AbortResponse
-            | Decision::Finished
-            | Decision::Send(_)
-            | Decision::Delay { .. } => {
-                return;
-            }
+            Decision::AbortResponse => return self.log_abort(),
+            Decision::Finished | Decision::Send(_) | Decision::Delay { .. } => return,
         };
         self.downstream.respond(response);
     }
 
+    /// Logs that the client gets only a part of its response.
+    fn log_abort(&self) {
+        let Some(suppressed) = self.gate.abort_log.borrow_mut().admit(Instant::now()) else {
+            return;
+        };
+        let id = self.forwarded.id.as_deref().map(String::from_utf8_lossy);
+        warn!(
+            self.gate.log, "a response was cut off, no server can continue it";
+            "request" => id.as_deref(), "server" => self.instance.as_deref(),
+            "cause" => ?self.truncation_cause, "last_event" => self.last_event, "suppressed" => suppressed
+        );
+    }
+
     /// The saved error response of a server. It is replaced by a 502 if its status would tell the
     /// client that the request was not executed, because the server has not declared that.
     fn take_saved_response(&mut self) -> DownstreamResponse {
--- a/crates/gate/src/exchange/state.rs
+++ b/crates/gate/src/exchange/state.rs
@@ -10,6 +10,7 @@
 use super::watch::{AttemptWatch, Interruption};
 use crate::attempt::UpstreamResponse;
 use crate::gate::Gate;
+use crate::in_progress::InProgress;
 use crate::request::ForwardedRequest;
 use crate::response::{DownstreamResponse, ResponseHead, body_channel};
 
@@ -29,6 +30,10 @@
     pub instance: Option<Arc<str>>,
     /// The id of the last event that was sent to the client, or from which the client resumes.
     pub last_event: Option<u64>,
+    /// What ended the latest attempt that failed within a response.
+    pub truncation_cause: Option<Outcome>,
+    /// Counts the request as in progress.
+    pub _in_progress: InProgress,
 }
 
 /// A server's complete response that may go to the client.
@@ -69,7 +74,7 @@
     }
 
     /// Whether an interruption ends the attempt or the whole request.
-    pub(super) fn interrupted(&self, interruption: Interruption) -> StepError {
+    pub(super) fn interrupted(&mut self, interruption: Interruption) -> StepError {
         match interruption {
             Interruption::Disconnected => StepError::Request,
             Interruption::TimedOut => {
@@ -80,12 +85,12 @@
 
     /// Returns `outcome` if nothing of a response has been passed to the client, and
     /// [`Outcome::Truncated`] otherwise.
-    pub(super) fn outcome_or_truncated(&self, outcome: Outcome) -> Outcome {
+    pub(super) fn outcome_or_truncated(&mut self, outcome: Outcome) -> Outcome {
         if self.downstream.is_awaiting_head() {
-            outcome
-        } else {
-            Outcome::Truncated { last_event: None }
+            return outcome;
         }
+        self.truncation_cause = Some(outcome);
+        Outcome::Truncated { last_event: None }
     }
 
     /// Sends the head of a streamed response; the chunks of its body follow.
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -11,10 +11,12 @@
 use ironmast_schema::settings::Settings;
 use ironmast_transport::attempt::AdmissionCheck;
 use ironmast_transport::clock::Clock;
+use ironmast_transport::log_limit::LogLimit;
 use rustc_hash::{FxHashMap, FxHashSet};
 use slog::Logger;
 use tokio::sync::{Notify, watch};
 
+use crate::in_progress::RequestsInProgress;
 use crate::limits::Limits;
 use crate::upstream::UpstreamClients;
 
@@ -52,6 +54,10 @@
     pub settings_changed: Notify,
     /// The UDP addresses to which this gate sends its load reports: the other gates of the region.
     pub peers: RefCell<Vec<SocketAddr>>,
+    /// The requests that have not ended.
+    pub requests_in_progress: RequestsInProgress,
+    /// Limits how often responses that are cut off are logged.
+    pub abort_log: RefCell<LogLimit>,
     /// When the gate started.
     started_at: Micros,
     /// Whether a configuration is known.
@@ -85,6 +91,8 @@
             status_changed: Notify::new(),
             settings_changed: Notify::new(),
             peers: RefCell::default(),
+            requests_in_progress: RequestsInProgress::default(),
+            abort_log: RefCell::default(),
             accepting: RefCell::default(),
         })
     }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -18,7 +18,7 @@
 //! | [`health`] | health checks of servers that are ejected or may be warming up |
 //! | [`peers`] | load reports exchanged with the other gates of the region |
 //! | [`limits`], [`client_limits`] | limits shared by all gates, and limits on client connections |
-//! | [`gate`], [`drain`] | the shared state, and the graceful shutdown |
+//! | [`gate`], [`in_progress`], [`drain`] | the shared state, the requests in progress, and the graceful shutdown |
 //!
 //! A gate runs on a single thread.
 #![forbid(unsafe_code)]
@@ -33,6 +33,7 @@
 mod gate;
 mod headers;
 mod health;
+mod in_progress;
 mod limits;
 mod peers;
 mod readiness;
