--- a/crates/gate/tests/streams.rs
+++ b/crates/gate/tests/streams.rs
@@ -3,9 +3,16 @@
 
 mod support;
 
+use std::time::Duration;
+
 use support::messages::{END_OF_CHUNKS, chunk, event};
+use support::{Client, LOCAL_ZONE, ReceivedRequest, Server, TestGate, entries};
 use support::{run_test, start_with_one_server, start_with_two_servers};
 
+/// A server that has been silent in the middle of a stream of `/brief/` for this long counts as
+/// stalled.
+const STALL_TIMEOUT: Duration = Duration::from_secs(1);
+
 #[test]
 fn events_are_relayed_one_by_one() {
     run_test(async {
@@ -76,6 +83,30 @@
     });
 }
 
+// Guards against a stream that ends without a complete answer because its only server was silent.
+#[test]
+fn stream_of_a_silent_server_goes_on_if_no_other_server_can_take_it() {
+    run_test(async {
+        let mut server = Server::start("i-1").await;
+        let mut gate = TestGate::start(&[(&server, LOCAL_ZONE)]).await;
+        let fields =
+            r#","target_latency_ms":300,"max_attempts":2,"resumable":true,"gap_aim_ms":100"#;
+        let brief = entries::route("brief", "streaming", 20_000, fields);
+        gate.send_entries(vec![entries::control(2, &[brief])]).await;
+        let mut client = gate.connect().await;
+        let mut request = request_on_new_route(&mut server, &mut client).await;
+        request.start_events("").await;
+        request.send_event(1).await;
+        client.read_event(1).await;
+        let closed = tokio::time::timeout(3 * STALL_TIMEOUT, request.closed()).await;
+        assert!(closed.is_err(), "the gate has given the stream up");
+        request.send_event(2).await;
+        request.end_events().await;
+        client.read_event(2).await;
+        client.read_end_of_stream().await;
+    });
+}
+
 #[test]
 fn duplicate_event_aborts_the_stream() {
     run_test(async {
@@ -109,6 +140,17 @@
     client.read_to_end().await
 }
 
+/// Sends requests to `/brief/` until its route is known; returns the one that reaches the server.
+async fn request_on_new_route(server: &mut Server, client: &mut Client) -> ReceivedRequest {
+    loop {
+        client.send_request("/brief/a", "r1").await;
+        tokio::select! {
+            request = server.next_request() => return request,
+            (head, _) = client.read_response() => assert!(head.contains(" 404 "), "{head}"),
+        }
+    }
+}
+
 #[test]
 fn attempt_ends_when_its_client_disconnects() {
     run_test(async {
--- a/crates/gate/tests/support/server.rs
+++ b/crates/gate/tests/support/server.rs
@@ -175,6 +175,11 @@
 
     /// Waits until the gate closes the connection.
     pub(crate) async fn wait_until_closed(mut self) {
+        self.closed().await;
+    }
+
+    /// Completes once the gate has closed the connection.
+    pub(crate) async fn closed(&mut self) {
         let mut ignored = String::new();
         while read_more(&mut self.stream, &mut ignored).await.is_some() {}
     }
