Gate: a request leaves a silent server only once another server takes it

Cause: check_progress ended the attempt of a silent server first, and only then did the decider search for another. Without one (the only server that is allowed, the others evacuated or without a permit) or without a retry left in the budget, which has no burst in the first window after a start, the client's connection was closed 1 s later.

Ruled out: the server's doing (the gate's new line says Timeout; the server saw the connection reset), the shutdown (the request was cut while the gate was serving).

Change: check_progress itself searches, withdraws the retry and returns the next attempt. Where that fails, the attempt goes on and is checked again each 100 ms, until its deadline. A server that breaks off is handled as before.

--- a/crates/gate/src/exchange.rs
+++ b/crates/gate/src/exchange.rs
@@ -15,7 +15,7 @@
 use std::time::Instant;
 
 use actix_http::StatusCode;
-use ironmast_routing::{Decision, Dispatch, Micros, Outcome, Request};
+use ironmast_routing::{Decision, Micros, Outcome, Request};
 use slog::warn;
 use tokio::sync::oneshot;
 
@@ -61,7 +61,7 @@
     async fn execute(&mut self, mut decision: Decision) {
         loop {
             let next = match decision {
-                Decision::Send(dispatch) => self.attempt_and_report(dispatch).await,
+                Decision::Send(dispatch) => self.attempt(dispatch).await,
                 Decision::Delay { until } => self.wait_until(until).await,
                 final_decision => return self.finish(&final_decision),
             };
@@ -70,11 +70,6 @@
         }
     }
 
-    async fn attempt_and_report(&mut self, dispatch: Dispatch) -> Option<Decision> {
-        let outcome = self.attempt(dispatch).await?;
-        Some(self.report_outcome(outcome))
-    }
-
     fn report_outcome(&mut self, outcome: Outcome) -> Decision {
         let now = self.gate.clock.now();
         let mut limits = self.gate.limits.borrow_mut();
--- a/crates/gate/src/exchange/attempt.rs
+++ b/crates/gate/src/exchange/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt of an exchange: sends the request, and delivers, saves or discards the response.
 
-use ironmast_routing::{Dispatch, Micros, Outcome};
+use ironmast_routing::{Decision, Dispatch, Micros, Outcome};
 
 use super::state::{Exchange, SavedResponse, StepError, head_of};
 use super::watch::AttemptWatch;
@@ -15,10 +15,12 @@
 const RESPONSE_TRANSIT_TIME: Micros = 5_000;
 
 impl Exchange {
-    /// Makes one attempt. Returns its outcome, or `None` if the client can get no further response.
-    pub(super) async fn attempt(&mut self, dispatch: Dispatch) -> Option<Outcome> {
+    /// Makes one attempt. Returns the next decision, or `None` if the client can get no further
+    /// response.
+    pub(super) async fn attempt(&mut self, dispatch: Dispatch) -> Option<Decision> {
         match self.send_and_receive(&dispatch).await {
-            Ok(outcome) | Err(StepError::Attempt(outcome)) => Some(outcome),
+            Ok(outcome) | Err(StepError::Attempt(outcome)) => Some(self.report_outcome(outcome)),
+            Err(StepError::FailedOver(next)) => Some(Decision::Send(*next)),
             Err(StepError::Request) => None,
         }
     }
@@ -64,7 +66,7 @@
             admission,
         );
         watch
-            .guard(&self.gate, &self.call, &mut self.downstream, sending)
+            .guard(&self.gate, &mut self.call, &mut self.downstream, sending)
             .await
             .map_err(|interruption| self.interrupted(interruption))?
             .map_err(StepError::Attempt)
--- a/crates/gate/src/exchange/state.rs
+++ b/crates/gate/src/exchange/state.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use ironmast_routing::{Call, Outcome};
+use ironmast_routing::{Call, Dispatch, Outcome};
 
 use super::downstream::Downstream;
 use super::watch::{AttemptWatch, Interruption};
@@ -48,6 +48,8 @@
 pub(super) enum StepError {
     /// The attempt ended with this outcome; another one may follow.
     Attempt(Outcome),
+    /// The attempt ended, and this one follows.
+    FailedOver(Box<Dispatch>),
     /// The request ended: its client has disconnected or reads too slowly.
     Request,
 }
@@ -68,7 +70,7 @@
         step: impl Future<Output = T>,
     ) -> Result<T, StepError> {
         watch
-            .guard(&self.gate, &self.call, &mut self.downstream, step)
+            .guard(&self.gate, &mut self.call, &mut self.downstream, step)
             .await
             .map_err(|interruption| self.interrupted(interruption))
     }
@@ -80,6 +82,7 @@
             Interruption::TimedOut => {
                 StepError::Attempt(self.outcome_or_truncated(Outcome::Timeout))
             }
+            Interruption::FailedOver(dispatch) => StepError::FailedOver(dispatch),
         }
     }
 
--- a/crates/gate/src/exchange/watch.rs
+++ b/crates/gate/src/exchange/watch.rs
@@ -1,9 +1,9 @@
 //! Monitors an attempt in progress, and interrupts it when the client disconnects, when the attempt
-//! times out, or when the decider expects another server to be faster.
+//! times out, or when the request fails over to another server.
 
 use std::time::Instant;
 
-use ironmast_routing::{Call, Micros, ProgressCheck};
+use ironmast_routing::{Call, Dispatch, Micros, ProgressCheck};
 
 use super::downstream::Downstream;
 use crate::gate::Gate;
@@ -12,12 +12,14 @@
 const MIN_CHECK_INTERVAL: Micros = 1_000;
 
 /// Why an attempt is interrupted.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub(super) enum Interruption {
     /// The client has disconnected.
     Disconnected,
-    /// The attempt has timed out, or another server is expected to be faster.
+    /// The attempt has timed out.
     TimedOut,
+    /// The request fails over from a silent server to another one.
+    FailedOver(Box<Dispatch>),
 }
 
 /// The deadline and the next progress check of an attempt.
@@ -36,7 +38,7 @@
     pub(super) async fn guard<T>(
         &mut self,
         gate: &Gate,
-        call: &Call,
+        call: &mut Call,
         downstream: &mut Downstream,
         step: impl Future<Output = T>,
     ) -> Result<T, Interruption> {
@@ -58,14 +60,18 @@
             .map_or(self.deadline, |at| at.min(self.deadline))
     }
 
-    fn check(&mut self, gate: &Gate, call: &Call) -> Result<(), Interruption> {
+    fn check(&mut self, gate: &Gate, call: &mut Call) -> Result<(), Interruption> {
         let now = gate.clock.now();
         if now >= self.deadline {
             return Err(Interruption::TimedOut);
         }
         if self.check_at.is_some_and(|at| at <= now) {
-            self.check_at = match gate.decider.borrow().check_progress(now, call) {
-                ProgressCheck::FailOver => return Err(Interruption::TimedOut),
+            let mut limits = gate.limits.borrow_mut();
+            let mut decider = gate.decider.borrow_mut();
+            self.check_at = match decider.check_progress(now, call, &mut *limits) {
+                ProgressCheck::FailOver(dispatch) => {
+                    return Err(Interruption::FailedOver(Box::new(dispatch)));
+                }
                 ProgressCheck::Wait { until } => Some(until.max(now + MIN_CHECK_INTERVAL)),
                 ProgressCheck::Ignore => None,
             };
--- a/crates/routing/src/decider/dispatch.rs
+++ b/crates/routing/src/decider/dispatch.rs
@@ -4,14 +4,16 @@
 
 use super::Decider;
 use super::selection::{AttemptKind, SelectedServer, Selection};
-use crate::decision::{Decision, Dispatch, ProgressCheck};
+use crate::decision::{Decision, Dispatch};
 use crate::endpoint::Endpoint;
 use crate::guards::Guard;
 use crate::limits::{Permits, RetryBudget};
+use crate::outcome::Outcome;
 use crate::prefill;
 use crate::priority::{self, LOWEST_PRIORITY};
 use crate::rejection::RejectionReason;
 use crate::request::{Attempt, Call};
+use crate::retry::{self, NextStep};
 
 /// Interval at which a request searches again while no server is listed for it, in microseconds.
 const DISCOVERY_RETRY_DELAY: Micros = 30_000;
@@ -45,6 +47,33 @@
         }
     }
 
+    /// Ends the attempt in flight, which has stalled, and assigns the request to another server.
+    /// Returns `None`, and leaves the attempt as it is, if no other server accepts the request now,
+    /// or if the retry budget is exhausted.
+    pub(super) fn fail_over<L: Permits + RetryBudget>(
+        &mut self,
+        now: Micros,
+        call: &mut Call,
+        limits: &mut L,
+    ) -> Option<Dispatch> {
+        let outcome = if call.head_forwarded {
+            Outcome::Truncated { last_event: None }
+        } else {
+            Outcome::Timeout
+        };
+        if retry::next_step(call, &outcome, now) != NextStep::Retry {
+            return None;
+        }
+        let Selection::Server(selected) = self.search(now, call, limits) else {
+            return None;
+        };
+        if !self.withdraw_retry(now, call, selected, limits) {
+            return None;
+        }
+        self.finish_attempt(now, call, &outcome);
+        Some(self.dispatch(now, call, selected))
+    }
+
     /// True if the request may wait for a server to be discovered: before its first attempt, and at
     /// most for half of the time from its start to its deadline.
     fn may_await_discovery(&self, now: Micros, call: &Call) -> bool {
@@ -119,12 +148,8 @@
             pending_tokens,
             backlog,
         });
-        let check_at = match self.check_progress(now, call) {
-            ProgressCheck::Wait { until } => Some(until),
-            ProgressCheck::FailOver | ProgressCheck::Ignore => None,
-        };
         Dispatch {
-            check_at,
+            check_at: self.stalls_at(call),
             ..dispatch
         }
     }
--- a/crates/routing/src/decider/liveness.rs
+++ b/crates/routing/src/decider/liveness.rs
@@ -6,6 +6,7 @@
 use super::Decider;
 use crate::decision::{HealthCheck, ProgressCheck};
 use crate::endpoint::Endpoint;
+use crate::limits::{Permits, RetryBudget};
 use crate::request::Call;
 use crate::table::RouteKind;
 
@@ -17,6 +18,10 @@
 /// Minimum time without a byte after which a stream is stalled, in microseconds.
 const MIN_STREAM_STALL: Micros = 1_000_000;
 
+/// Interval at which a stalled request for which there is no other server is checked again, in
+/// microseconds.
+const FAILOVER_RETRY_INTERVAL: Micros = 100_000;
+
 /// A server that owes a response is sent a health check once it has been silent for this multiple
 /// of the `unresponsive_after` setting.
 const LONG_UNRESPONSIVE_FACTOR: u64 = 2;
@@ -26,25 +31,40 @@
 impl Decider {
     /// Decides whether the attempt in flight has stalled and the request fails over to another
     /// server. The attempt goes on as long as anything is received from its server, because a
-    /// server that answers other requests is still working on this one.
-    #[must_use]
-    pub fn check_progress(&self, now: Micros, call: &Call) -> ProgressCheck {
-        let latest = call.attempts.last();
-        let in_flight = latest.filter(|attempt| attempt.outcome.is_none() && !call.is_finished);
-        let Some((attempt, timeout)) = in_flight.zip(self.stall_timeout(call)) else {
+    /// server that answers other requests is still working on this one. It also goes on while no
+    /// other server can take the request: a silent server may continue.
+    pub fn check_progress<L: Permits + RetryBudget>(
+        &mut self,
+        now: Micros,
+        call: &mut Call,
+        limits: &mut L,
+    ) -> ProgressCheck {
+        let Some(stalls_at) = self.stalls_at(call) else {
             return ProgressCheck::Ignore;
         };
+        if now < stalls_at {
+            return ProgressCheck::Wait { until: stalls_at };
+        }
+        match self.fail_over(now, call, limits) {
+            Some(dispatch) => ProgressCheck::FailOver(dispatch),
+            None => ProgressCheck::Wait {
+                until: now + FAILOVER_RETRY_INTERVAL,
+            },
+        }
+    }
+
+    /// Clock reading at which the attempt in flight counts as stalled unless anything is received
+    /// from its server before; `None` if it never does.
+    pub(super) fn stalls_at(&self, call: &Call) -> Option<Micros> {
+        let latest = call.attempts.last();
+        let attempt = latest.filter(|attempt| attempt.outcome.is_none() && !call.is_finished)?;
+        let timeout = self.stall_timeout(call)?;
         let endpoint = self.endpoints.get(attempt.server);
         let last_heard = endpoint
             .map_or(0, |endpoint| endpoint.last_heard)
             .max(attempt.sent_at)
             .max(call.last_byte_at);
-        let until = last_heard + timeout;
-        if until <= now {
-            ProgressCheck::FailOver
-        } else {
-            ProgressCheck::Wait { until }
-        }
+        Some(last_heard + timeout)
     }
 
     /// Time without any byte from the server after which the request fails over; `None` if the
--- a/crates/routing/src/decider/tests/attempts.rs
+++ b/crates/routing/src/decider/tests/attempts.rs
@@ -320,39 +320,87 @@
 fn a_stalled_attempt_fails_over_only_if_its_server_is_silent_too() {
     let mut gate = gate(RouteKind::Idempotent, 2);
     let (mut call, first) = gate.begin(gate.request("a"));
-    let at = dispatch_of(&first).check_at.expect("a check");
+    let first = dispatch_of(&first);
+    let at = first.check_at.expect("a check");
+    gate.now = at - 1;
     assert!(matches!(
-        gate.decider.check_progress(at - 1, &call),
-        ProgressCheck::Wait { .. }
+        gate.check_progress(&mut call),
+        ProgressCheck::Wait { until } if until == at
     ));
-    assert_eq!(
-        gate.decider.check_progress(at, &call),
-        ProgressCheck::FailOver
-    );
-    gate.decider
-        .record_liveness(at - 10, dispatch_of(&first).server);
-    assert!(
-        matches!(gate.decider.check_progress(at, &call), ProgressCheck::Wait { until } if until > at)
-    );
+    gate.decider.record_liveness(at - 10, first.server);
     gate.now = at;
-    assert!(matches!(
-        gate.finish_attempt(&mut call, Outcome::Timeout),
-        Decision::Send(_)
-    ));
+    let ProgressCheck::Wait { until } = gate.check_progress(&mut call) else {
+        panic!("the server has been heard")
+    };
+    assert!(until > at);
+    gate.now = until;
+    let ProgressCheck::FailOver(second) = gate.check_progress(&mut call) else {
+        panic!("the server is silent")
+    };
+    assert_ne!(second.server, first.server);
+    assert_eq!(gate.decider.in_flight(first.server), 0);
+    assert_eq!(gate.decider.in_flight(second.server), 1);
+    gate.now += 20 * SECOND;
     assert_eq!(
-        gate.decider.check_progress(at + 20 * SECOND, &call),
+        gate.check_progress(&mut call),
         ProgressCheck::Ignore,
         "no attempt is left"
     );
 }
 
+#[test]
+fn a_stalled_attempt_goes_on_while_no_other_server_can_take_the_request() {
+    let table_of = |server_count| {
+        let route = route("a", RouteKind::Stream { resumable: true });
+        spec(vec![route], servers(0, server_count, "north"))
+    };
+    let mut gate = Gate::new(table_of(1));
+    let (mut call, first) = gate.begin(gate.request("a"));
+    let first = dispatch_of(&first);
+    gate.decider
+        .response_forwarded(gate.now, &mut call, Some(1));
+    // The route's time-out ends the request after 10 s.
+    for _ in 0..8 {
+        gate.now += SECOND;
+        assert!(matches!(
+            gate.check_progress(&mut call),
+            ProgressCheck::Wait { until } if until > gate.now
+        ));
+        assert_eq!(gate.decider.in_flight(first.server), 1);
+    }
+    gate.update_table(table_of(2));
+    let ProgressCheck::FailOver(second) = gate.check_progress(&mut call) else {
+        panic!("another server is listed")
+    };
+    assert_eq!((second.attempt, second.resume_after), (2, Some(1)));
+}
+
+#[test]
+fn a_stalled_attempt_goes_on_while_the_retry_budget_is_exhausted() {
+    let mut gate = gate(RouteKind::Stream { resumable: true }, 2);
+    let (mut call, first) = gate.begin(gate.request("a"));
+    gate.decider
+        .response_forwarded(gate.now, &mut call, Some(1));
+    gate.limits.retries = 0;
+    gate.now += 2 * SECOND;
+    assert!(matches!(
+        gate.check_progress(&mut call),
+        ProgressCheck::Wait { .. }
+    ));
+    assert_eq!(gate.decider.in_flight(dispatch_of(&first).server), 1);
+    gate.limits.retries = 1;
+    assert!(matches!(
+        gate.check_progress(&mut call),
+        ProgressCheck::FailOver(_)
+    ));
+    assert_eq!(gate.limits.withdrawals, 1);
+}
+
 #[test]
 fn a_non_idempotent_request_does_not_fail_over() {
     let mut gate = gate(RouteKind::NonIdempotent, 2);
-    let (call, first) = gate.begin(gate.request("a"));
+    let (mut call, first) = gate.begin(gate.request("a"));
     assert_eq!(dispatch_of(&first).check_at, None);
-    assert_eq!(
-        gate.decider.check_progress(gate.now + 9 * SECOND, &call),
-        ProgressCheck::Ignore
-    );
+    gate.now += 9 * SECOND;
+    assert_eq!(gate.check_progress(&mut call), ProgressCheck::Ignore);
 }
--- a/crates/routing/src/decision.rs
+++ b/crates/routing/src/decision.rs
@@ -125,16 +125,15 @@
 }
 
 /// The gate's next step for an attempt on which nothing has been received for a while.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum ProgressCheck {
     /// Keep the attempt, and check again at that clock reading.
     Wait {
         /// Clock reading, in microseconds.
         until: Micros,
     },
-    /// End the attempt and report it as [`Outcome::Timeout`](crate::Outcome::Timeout), or as
-    /// [`Outcome::Truncated`](crate::Outcome::Truncated) if the head was forwarded.
-    FailOver,
+    /// End the attempt without reporting its outcome, which is recorded already, and make this one.
+    FailOver(Dispatch),
     /// Keep the attempt; no further check is needed.
     Ignore,
 }
--- a/crates/routing/src/test_support.rs
+++ b/crates/routing/src/test_support.rs
@@ -185,6 +185,11 @@
         self.decider.begin(self.now, request, &mut self.limits)
     }
 
+    pub(crate) fn check_progress(&mut self, call: &mut Call) -> ProgressCheck {
+        self.decider
+            .check_progress(self.now, call, &mut self.limits)
+    }
+
     pub(crate) fn finish_attempt(&mut self, call: &mut Call, outcome: Outcome) -> Decision {
         self.decider
             .attempt_finished(self.now, call, outcome, &mut self.limits)
