Soak: streams, resumable or not, and servers that fall silent together

The soak had short requests only (300 ms at most), so no gate ever waited for a silent server, and no stream was in progress when a process ended. An answer that is cut off counts as missing unless its deadline has passed.

--- a/crates/ironmast/tests/soak.rs
+++ b/crates/ironmast/tests/soak.rs
@@ -1,7 +1,8 @@
 //! A soak of the system: clients use their connections until a process closes them, while series of
-//! signals, restarts and changes overlap, drawn from a seed. Afterwards no request may have run twice,
-//! no refused one at all, no answer may be missing but for kills and pauses, and the newest change that
-//! was acknowledged is in force everywhere.
+//! signals, restarts and changes overlap, drawn from a seed, and all servers are silent now and then.
+//! Afterwards no request may have run more often than its route allows, no refused one at all, no
+//! answer may be missing or cut off but for kills and pauses, and the newest change that was
+//! acknowledged is in force everywhere.
 //!
 //! `SOAK_FIRST_SEED` and `SOAK_SEEDS` choose other seeds, `SOAK_SITES` how many run at a time:
 //!
@@ -23,8 +24,8 @@
 use awc::http::Method;
 use rand::{RngExt as _, SeedableRng as _};
 use rand_xoshiro::Xoshiro256PlusPlus;
-use record::Record;
-use system::client::{configuration, get, put, status};
+use record::{MAX_ATTEMPTS, Record};
+use system::client::{get, put, status};
 use system::{Role, Site, eventually};
 use traffic::{Clients, start_server};
 
@@ -38,7 +39,9 @@
 const CONFIG_PATH: &str = "/api/config";
 /// The machine of the gate and its agent.
 const GATE: u8 = 4;
-const CLIENTS: u64 = 8;
+const CLIENTS: u64 = 24;
+/// The longest pause between events that the routes of streams accept.
+const GAP_TARGET_MS: u32 = 200;
 const SERVER_ZONES: [&str; 3] = ["z8", "z8", "z9"];
 /// The zone that is evacuated and put back in service.
 const EVACUATED_ZONE: &str = "z9";
@@ -297,9 +300,30 @@
     }
 }
 
-/// A configuration whose route allows no request to run twice.
+/// A configuration with a route for each kind of request. Only a resumable stream may run twice.
 fn soak_configuration(generation: u64) -> String {
-    configuration(generation).replace("\"safe\"", "\"unsafe\"")
+    let route = |name: &str, kind: &str, fields: &str| {
+        format!(
+            "{{\"name\":\"{name}\",\"hostname\":\"a.example\",\"path_prefix\":\"/{name}/\",\
+             \"type\":\"{kind}\",\"timeout_ms\":5000,\"target_latency_ms\":400,\"backend\":\"app\",\
+             \"max_attempts\":{MAX_ATTEMPTS}{fields}}}"
+        )
+    };
+    let gap = format!(",\"gap_aim_ms\":{GAP_TARGET_MS}");
+    let routes = [
+        route("x", "unsafe", ""),
+        route(
+            "resumable",
+            "streaming",
+            &format!(",\"resumable\":true{gap}"),
+        ),
+        route("stream", "streaming", &gap),
+    ];
+    format!(
+        "{{\"generation\": {generation}, \"routes\":[{}],\"services\":[{{\"name\":\"app\",\
+         \"health_check\":\"/healthz\",\"max_connections\":100}}]}}",
+        routes.join(",")
+    )
 }
 
 /// Plays one seed; returns the violations.
--- a/crates/ironmast/tests/soak/record.rs
+++ b/crates/ironmast/tests/soak/record.rs
@@ -4,11 +4,16 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use super::traffic::{DEADLINE, Kind};
+
 /// A status that promises that the request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 /// Trouble counts for requests that end this long after it: their answer may still be on its way.
 const TROUBLE_TAIL: Duration = Duration::from_secs(1);
 
+/// How many servers may run a request that may be repeated.
+pub(crate) const MAX_ATTEMPTS: u32 = 2;
+
 /// How a request ended for its client.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Ending {
@@ -22,6 +27,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Sent {
     pub id: String,
+    pub kind: Kind,
     pub began_at: Instant,
     pub ended_at: Instant,
     pub ending: Ending,
@@ -34,6 +40,13 @@
     until: Option<Instant>,
 }
 
+/// The runs of one request at all servers.
+#[derive(Clone, Copy, Debug)]
+struct Runs {
+    kind: Kind,
+    count: u32,
+}
+
 /// The shared record of a soak.
 #[derive(Clone, Default)]
 pub(crate) struct Record(Arc<Mutex<Events>>);
@@ -42,7 +55,7 @@
 struct Events {
     sent: Vec<Sent>,
     /// How often each request has run, by id.
-    runs: HashMap<String, u32>,
+    runs: HashMap<String, Runs>,
     troubles: Vec<Trouble>,
     violations: Vec<String>,
 }
@@ -52,8 +65,11 @@
         self.events(|events| events.sent.push(sent));
     }
 
-    pub(crate) fn request_run(&self, id: &str) {
-        self.events(|events| *events.runs.entry(id.to_string()).or_default() += 1);
+    pub(crate) fn request_run(&self, id: &str, kind: Kind) {
+        self.events(|events| {
+            let first = Runs { kind, count: 0 };
+            events.runs.entry(id.to_string()).or_insert(first).count += 1;
+        });
     }
 
     pub(crate) fn trouble_begins(&self) {
@@ -92,8 +108,10 @@
             for sent in &events.sent {
                 violations.extend(events.violation_of(sent));
             }
-            for (id, runs) in events.runs.iter().filter(|(_, runs)| **runs > 1) {
-                violations.push(format!("request {id} has run {runs} times"));
+            for (id, runs) in &events.runs {
+                if runs.count > runs.allowed() {
+                    violations.push(format!("request {id} has run {} times", runs.count));
+                }
             }
             violations
         })
@@ -104,10 +122,20 @@
     }
 }
 
+impl Runs {
+    /// How often the request may run.
+    fn allowed(self) -> u32 {
+        match self.kind {
+            Kind::ResumableStream => MAX_ATTEMPTS,
+            Kind::Single | Kind::Stream => 1,
+        }
+    }
+}
+
 impl Events {
     fn violation_of(&self, sent: &Sent) -> Option<String> {
         let id = &sent.id;
-        let runs = self.runs.get(id).copied().unwrap_or(0);
+        let runs = self.runs.get(id).map_or(0, |runs| runs.count);
         match sent.ending {
             Ending::Response {
                 status,
@@ -119,14 +147,21 @@
             Ending::Response { status, .. } if NOT_RUN_STATUSES.contains(&status) && runs > 0 => {
                 Some(format!("request {id}: {status}, but it has run"))
             }
-            Ending::NoResponse if runs > 0 && !self.is_in_trouble(sent) => Some(format!(
-                "request {id}: it has run, and its connection ended without an answer after {} ms",
+            Ending::NoResponse if runs > 0 && !self.may_end_unanswered(sent) => Some(format!(
+                "request {id} ({:?}): it has run {runs} times, and its connection ended without a complete \
+                 answer after {} ms",
+                sent.kind,
                 (sent.ended_at - sent.began_at).as_millis()
             )),
             _ => None,
         }
     }
 
+    /// Whether no answer is owed: the gate was killed or suspended, or the deadline has passed.
+    fn may_end_unanswered(&self, sent: &Sent) -> bool {
+        self.is_in_trouble(sent) || sent.ended_at - sent.began_at >= DEADLINE
+    }
+
     fn is_in_trouble(&self, sent: &Sent) -> bool {
         self.troubles.iter().any(|trouble| {
             let has_begun = trouble.from <= sent.ended_at;
