Gate: the bodies that it holds are limited together, those beyond are refused

Cause: a gate reads each body whole, up to max_body_bytes, and nothing limited their sum.

Ruled out: that fewer bytes would do. With memory counted as the bytes arrive, 200 clients with 4 MB each still took 261 MB: a buffer for the announced length that the allocator takes from freed memory is resident at once.

The memory is reserved before it is allocated, and held until the request ends. What is beyond it is not read and refused with 503 and Retry-After.

--- a/crates/gate/src/attempt.rs
+++ b/crates/gate/src/attempt.rs
@@ -37,10 +37,12 @@
     // Yields once, so that a connection that the server has already closed is noticed before the
     // request is written.
     tokio::task::yield_now().await;
-    let sent = if forwarded.body.is_empty() {
+    let sent = if forwarded.body.bytes.is_empty() {
         state.scope(request.send()).await
     } else {
-        state.scope(request.send_body(forwarded.body.clone())).await
+        state
+            .scope(request.send_body(forwarded.body.bytes.clone()))
+            .await
     };
     match sent {
         Ok(response) => Ok(UpstreamResponse::new(response, state, forwarded, dispatch)),
--- a/crates/gate/src/frontend.rs
+++ b/crates/gate/src/frontend.rs
@@ -7,12 +7,11 @@
 use actix_http::body::BoxBody;
 use actix_http::header::{CONTENT_LENGTH, HOST};
 use actix_http::{ConnectionType, HttpMessage as _, Request, Response, StatusCode};
-use bytes::Bytes;
 use ironmast_routing::{Micros, Route, RouteKind};
-use ironmast_transport::body::BodyMemory;
+use ironmast_transport::body::{BodyBudget, HeldBody};
 use ironmast_transport::connection::ClientConnection;
 use ironmast_transport::listener::Service;
-use ironmast_transport::request_body::{self, RequestBody, RequestBodyError};
+use ironmast_transport::request_body::{self, RequestBodyError};
 use tokio::sync::oneshot;
 
 use crate::exchange;
@@ -24,19 +23,22 @@
 /// The `Retry-After` of a gate that is shutting down, in s. It is short, because another gate can
 /// serve the request at once.
 const SHUTDOWN_RETRY_AFTER: &str = "0.02";
+/// The `Retry-After` of a gate whose memory for bodies is used up, in s: about the time after which a
+/// body is released, once its request has its answer.
+const OUT_OF_MEMORY_RETRY_AFTER: &str = "0.500";
 
 /// The service that handles requests of clients.
 pub(crate) struct Frontend {
     gate: Rc<Gate>,
-    bodies: BodyMemory,
+    bodies: BodyBudget,
 }
 
 impl Frontend {
-    /// Creates the frontend of a gate; all buffered request bodies may use `memory_mb` MB together.
+    /// Creates the frontend of a gate that may use `memory_mb` MiB of memory.
     pub(crate) fn new(gate: Rc<Gate>, memory_mb: u64) -> Self {
         Frontend {
             gate,
-            bodies: BodyMemory::new(memory_mb as usize),
+            bodies: BodyBudget::new(memory_mb as usize),
         }
     }
 
@@ -48,7 +50,7 @@
         let began_at = connection.request_started_at().min(self.gate.clock.now());
         let body = match self.read_body(&mut request, connection).await {
             Ok(body) => body,
-            Err(status) => return closing_response(status),
+            Err(response) => return response,
         };
         let active = connection.mark_request_pending();
         active.set_fully_received(true);
@@ -80,29 +82,22 @@
     /// Reads the body completely.
     ///
     /// # Errors
-    /// The status of the response: 413 if the body is too long, 400 if it is incomplete.
+    /// The response: 413 if the body is too long, 400 if it is incomplete, and 503 if the gate has no
+    /// memory left for it.
     async fn read_body(
         &self,
         request: &mut Request,
         connection: &Rc<ClientConnection>,
-    ) -> Result<Bytes, StatusCode> {
+    ) -> Result<HeldBody, Response<BoxBody>> {
         let content_length = content_length(request);
         let payload = request.take_payload();
-        let reading = request_body::read(
-            payload,
-            content_length,
-            usize::MAX,
-            &self.bodies,
-            connection,
-            || {},
-        );
-        match reading.await {
-            Ok(RequestBody::Buffered(body)) => Ok(body),
-            Ok(RequestBody::Streamed(_)) | Err(RequestBodyError::TooLong) => {
-                Err(StatusCode::PAYLOAD_TOO_LARGE)
-            }
-            Err(RequestBodyError::Incomplete) => Err(StatusCode::BAD_REQUEST),
-        }
+        request_body::read_whole(payload, content_length, &self.bodies, connection)
+            .await
+            .map_err(|error| match error {
+                RequestBodyError::TooLong => closing_response(StatusCode::PAYLOAD_TOO_LARGE),
+                RequestBodyError::Incomplete => closing_response(StatusCode::BAD_REQUEST),
+                RequestBodyError::OutOfMemory => unavailable(OUT_OF_MEMORY_RETRY_AFTER),
+            })
     }
 
     fn find_route(&self, request: &Request) -> Option<Arc<Route>> {
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -3,8 +3,8 @@
 
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use actix_http::{HttpMessage as _, Method, Request};
-use bytes::Bytes;
 use ironmast_routing::{Micros, PromptPart};
+use ironmast_transport::body::HeldBody;
 
 use crate::headers;
 
@@ -24,12 +24,12 @@
     /// Whether the client accepts only one version of the model weights.
     pub expects_version: bool,
     /// The complete body.
-    pub body: Bytes,
+    pub body: HeldBody,
 }
 
 impl ForwardedRequest {
     /// Builds the forwarded request from the head of a client's request and its complete body.
-    pub(crate) fn new(request: &Request, body: Bytes) -> Self {
+    pub(crate) fn new(request: &Request, body: HeldBody) -> Self {
         let headers = request.headers();
         ForwardedRequest {
             method: request.method().clone(),
--- a/crates/transport/src/body.rs
+++ b/crates/transport/src/body.rs
@@ -1,6 +1,7 @@
 //! Request and response bodies: short ones are buffered, long ones are streamed.
 //!
-//! - [`BodyMemory`] bounds the memory of all streamed bodies together.
+//! - [`BodyMemory`] bounds the memory of all streamed bodies together, [`BodyBudget`] that of bodies
+//!   that are held whole.
 //! - [`MinRateTimer`] enforces the minimum rate at which a client sends a request body.
 //! - [`StreamedRequestBody`] and [`ResponseBody`] are the bodies themselves.
 
@@ -10,11 +11,13 @@
 use bytes::Bytes;
 use futures_util::Stream;
 
+mod budget;
 mod memory;
 mod min_rate;
 mod request;
 mod response;
 
+pub use budget::{BodyBudget, BodyReservation, HeldBody};
 pub use memory::{BodyMemory, BodyMemoryPermit};
 pub use min_rate::{MinRateStream, MinRateTimer};
 pub use request::StreamedRequestBody;
--- a/crates/transport/src/request_body.rs
+++ b/crates/transport/src/request_body.rs
@@ -1,4 +1,5 @@
-//! Reads the body of a client's request: a short body is buffered, a long one is streamed.
+//! Reads the body of a client's request: a short body is buffered and a long one streamed, or each is
+//! held whole.
 
 use std::io;
 use std::pin::Pin;
@@ -9,7 +10,10 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt as _};
 
-use crate::body::{BodyChunks, BodyMemory, MinRateStream, StreamedRequestBody};
+use crate::body::{
+    BodyBudget, BodyChunks, BodyMemory, BodyReservation, HeldBody, MinRateStream,
+    StreamedRequestBody,
+};
 use crate::connection::ClientConnection;
 
 /// The body of a request.
@@ -30,6 +34,9 @@
     /// The body is longer than the limits of its connection allow.
     #[error("request body is longer than the limit")]
     TooLong,
+    /// The bodies that are held whole use all the memory that they may.
+    #[error("no memory is left for the request body")]
+    OutOfMemory,
 }
 
 /// Reads the body of a request; `length` is its length in bytes, if announced. A body of up to
@@ -48,12 +55,7 @@
     on_complete: impl FnOnce() + 'static,
 ) -> Result<RequestBody, RequestBodyError> {
     let max_bytes = connection.limits().max_body_bytes;
-    if length.is_some_and(|length| length > max_bytes as u64) {
-        return Err(RequestBodyError::TooLong);
-    }
-    let expected = length.map_or(max_bytes, |length| length as usize);
-    let payload = Box::pin(ObservedPayload::new(payload, expected, connection));
-    let mut chunks = MinRateStream::new(payload, connection.clock(), connection.start_body());
+    let mut chunks = body_chunks(payload, length, connection)?;
     let mut prefix = BytesMut::new();
     // Streaming starts only after more than `max_buffered` bytes have arrived, so that clients that
     // announce a long body and send little of it do not occupy connections to a server.
@@ -82,6 +84,74 @@
     Ok(RequestBody::Streamed(Rc::new(body)))
 }
 
+/// Reads the body of a request to its end and holds it within `budget`; `length` is its length in
+/// bytes, if announced.
+///
+/// # Errors
+/// If the body is aborted or too long, or if `budget` has no memory left for it. The rest of the body
+/// is then discarded as it arrives.
+pub async fn read_whole(
+    payload: Payload,
+    length: Option<u64>,
+    budget: &BodyBudget,
+    connection: &Rc<ClientConnection>,
+) -> Result<HeldBody, RequestBodyError> {
+    let max_bytes = connection.limits().max_body_bytes;
+    let mut chunks = body_chunks(payload, length, connection)?;
+    let mut reservation = budget.reservation();
+    let mut body = BytesMut::new();
+    allocate(&mut body, length.unwrap_or(0) as usize, &mut reservation)?;
+    while let Some(chunk) = chunks.next().await {
+        let chunk = chunk.map_err(|_| RequestBodyError::Incomplete)?;
+        let bytes = body.len() + chunk.len();
+        if bytes > max_bytes {
+            return Err(RequestBodyError::TooLong);
+        }
+        if bytes > body.capacity() {
+            let capacity = (2 * body.capacity()).clamp(bytes, max_bytes);
+            allocate(&mut body, capacity, &mut reservation)?;
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(reservation.hold(body.freeze()))
+}
+
+/// Allocates `capacity` bytes for `body` in all. The memory is reserved first, and for bytes that have
+/// not arrived as well: the allocator reuses pages that are resident.
+///
+/// # Errors
+/// If the budget has not as much memory left.
+fn allocate(
+    body: &mut BytesMut,
+    capacity: usize,
+    reservation: &mut BodyReservation,
+) -> Result<(), RequestBodyError> {
+    if !reservation.grow_to(capacity) {
+        return Err(RequestBodyError::OutOfMemory);
+    }
+    body.reserve(capacity - body.len());
+    Ok(())
+}
+
+/// The chunks of a request's body, for whose arrival the limits of its connection are enforced.
+///
+/// # Errors
+/// If the announced `length` exceeds the limit.
+fn body_chunks(
+    payload: Payload,
+    length: Option<u64>,
+    connection: &Rc<ClientConnection>,
+) -> Result<MinRateStream, RequestBodyError> {
+    let max_bytes = connection.limits().max_body_bytes;
+    if length.is_some_and(|length| length > max_bytes as u64) {
+        return Err(RequestBodyError::TooLong);
+    }
+    let expected = length.map_or(max_bytes, |length| length as usize);
+    let payload = Box::pin(ObservedPayload::new(payload, expected, connection));
+    let timer = connection.start_body();
+    Ok(MinRateStream::new(payload, connection.clock(), timer))
+}
+
 /// Returns the chunks up to `max_bytes` in total, then an error. Guards against bodies without an
 /// announced length that never end.
 fn limit_length(chunks: MinRateStream, max_bytes: usize) -> BodyChunks {
--- a/crates/transport/tests/listener/support.rs
+++ b/crates/transport/tests/listener/support.rs
@@ -148,6 +148,7 @@
             }
             Err(RequestBodyError::TooLong) => return empty_response(StatusCode::PAYLOAD_TOO_LARGE),
             Err(RequestBodyError::Incomplete) => return empty_response(StatusCode::BAD_REQUEST),
+            Err(RequestBodyError::OutOfMemory) => unreachable!("the body is not held whole"),
             Ok(RequestBody::Streamed(streamed_body)) => (String::new(), Some(streamed_body)),
         };
         let active = connection.mark_request_pending();
