Test: what was acknowledged survives a final fault of all processes at once

The third hypothesis about lost requests: an acknowledged change is gone after a final fault. The soak never killed all processes at once, and no test with processes looked at evacuations after it.

--- a/crates/ironmast/tests/system/mod.rs
+++ b/crates/ironmast/tests/system/mod.rs
@@ -375,6 +375,14 @@
         self.child.wait().expect("reaped");
     }
 
+    /// Sends SIGKILL to all processes before it waits for the first one to exit.
+    pub(crate) fn kill_all(roles: Vec<Role>) {
+        for role in &roles {
+            kill_process(Pid::from_child(&role.child), Signal::KILL).expect("signalled");
+        }
+        roles.into_iter().for_each(Role::kill);
+    }
+
     pub(crate) fn is_running(&mut self) -> bool {
         self.child.try_wait().is_ok_and(|ended| ended.is_none())
     }
