--- a/crates/ironmast/tests/system/mod.rs
+++ b/crates/ironmast/tests/system/mod.rs
@@ -229,7 +229,9 @@
     /// The lines that a role on a machine has logged so far.
     pub(crate) fn log(&self, role: &str, number: u8) -> Vec<String> {
         let log = fs::read_to_string(self.log_path(role, number)).unwrap_or_default();
-        log.lines().map(str::to_string).collect()
+        // A line is written in parts: the last one is complete only with its end.
+        let complete = log.rsplit_once('\n').map_or("", |(complete, _)| complete);
+        complete.lines().map(str::to_string).collect()
     }
 
     /// Waits until a role on a machine has logged a line with this text; returns all such lines.
