Soak: one check of a process's end for gates and agents

The agent's SIGTERM had copied the gate's check. The assertions are the same: success within the grace period.

--- a/crates/ironmast/tests/soak.rs
+++ b/crates/ironmast/tests/soak.rs
@@ -103,13 +103,17 @@
         gate
     }
 
-    fn end_gate(&self, mut gate: Role) {
-        let status = gate.wait_for_exit(GRACE_PERIOD);
-        match status {
+    fn end_gate(&self, gate: Role) {
+        self.await_end("gate", gate);
+    }
+
+    /// Waits until a process that was told to end has ended; it has to succeed.
+    fn await_end(&self, name: &str, mut role: Role) {
+        match role.wait_for_exit(GRACE_PERIOD) {
             Some(status) if status.success() => {}
             other => self
                 .record
-                .violation(format!("the gate ended with {other:?}")),
+                .violation(format!("the {name} ended with {other:?}")),
         }
     }
 
@@ -193,12 +197,7 @@
                 _ => {
                     agent.wait_until_started();
                     agent.terminate();
-                    match agent.wait_for_exit(GRACE_PERIOD) {
-                        Some(status) if status.success() => {}
-                        other => self
-                            .record
-                            .violation(format!("the agent ended with {other:?}")),
-                    }
+                    self.await_end("agent", agent);
                     agent = self.site.start_agent(GATE);
                 }
             }
